Bound what shares may lose by the budget and by what is left of it

Beside it: shares took the whole pool at the start, as each thought that it spent most; a renewal lost one race for the total after another behind a full link (three conflicts, 1.2 s); a lost answer was waited for 2 s.

Change (ledger::escrow, no I/O): exposure follows the rate in a burst and is at most 4.2 in 100 of the budget and 14 in 100 of what is left, over all holders, but lasts for two writes at the time that writes take; a part of the pool is kept for requests that wait; after a conflict an urgent renewal does without the total; unused shares go back in the last tenth of a budget; the wait for a write follows the last ones; a request without tokens is refused at once when the store's call stalls, and is told when the row will cover it, two seconds at least. Changed budgets are logged.

--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -25,7 +25,7 @@
 const STARTING: Duration = Duration::from_millis(500);
 /// Pause suggested while other instances hold the tokens; they give idle ones back in this time.
 const ELSEWHERE: Duration = Duration::from_millis(1_600);
-/// Pause suggested while the store is out.
+/// Least pause suggested while the store is out; those who come back sooner meet the same state.
 const OUTAGE: Duration = Duration::from_secs(2);
 /// Pause suggested by an instance that is about to stop; another one can serve at once.
 const STOPPING: Duration = Duration::from_millis(100);
@@ -233,7 +233,10 @@
             match fault {
                 Fault::Exhausted => Refusal::not_run(402, "budget_exhausted"),
                 Fault::Elsewhere => Refusal::not_run(429, "budget_elsewhere").after(ELSEWHERE),
-                Fault::Unreachable => Refusal::not_run(503, "budget_unreachable").after(OUTAGE),
+                Fault::Unreachable(wait) => {
+                    let after = wait.unwrap_or_default().max(OUTAGE);
+                    Refusal::not_run(503, "budget_unreachable").after(after)
+                }
             }
         })
     }
--- a/crates/ledger/src/escrow.rs
+++ b/crates/ledger/src/escrow.rs
@@ -10,6 +10,7 @@
 //! [`share::Share`] decides and has no I/O; [`keeper::Keeper`] runs it against the store.
 
 pub mod keeper;
+pub mod latency;
 pub mod rate;
 pub mod row;
 pub mod share;
--- a/crates/ledger/src/escrow/keeper.rs
+++ b/crates/ledger/src/escrow/keeper.rs
@@ -34,9 +34,9 @@
     /// Other instances hold what is left.
     #[error("other instances hold what is left of the budget")]
     Elsewhere,
-    /// The store did not answer, and the share is used up.
+    /// The store did not answer, and the share is used up for the time given, if it is known.
     #[error("the store cannot be reached and the share of the budget is used up")]
-    Unreachable,
+    Unreachable(Option<Duration>),
 }
 
 #[derive(Debug)]
@@ -149,6 +149,7 @@
 
     /// Takes in the budgets of the newest configuration; `None` is an account without a limit.
     pub fn configure(&self, budgets: HashMap<AccountId, Option<Tokens>>) {
+        self.log_changes(&budgets);
         *self.inner.budgets.borrow_mut() = budgets;
         let accounts: Vec<AccountId> = self.inner.budgets.borrow().keys().map(Arc::clone).collect();
         for account in accounts {
@@ -157,6 +158,17 @@
         self.refresh();
     }
 
+    fn log_changes(&self, budgets: &HashMap<AccountId, Option<Tokens>>) {
+        let known = self.inner.budgets.borrow();
+        for (account, budget) in budgets {
+            let before = known.get(account);
+            if before != Some(budget) {
+                info!(self.inner.context.log, "budget changed"; "account" => %account,
+                    "tokens" => budget, "before" => before.copied().flatten());
+            }
+        }
+    }
+
     /// Takes in how many instances callers are given, and whether this is one of them.
     pub fn set_instances(&self, instances: u64, is_listed: bool) {
         self.inner.instances.set(instances);
@@ -193,17 +205,30 @@
         let now = self.inner.context.clock.now();
         let failed_at = self.inner.failed_at.get();
         if failed_at.is_some_and(|at| now.saturating_sub(at) < OUTAGE) {
-            return Err(Fault::Unreachable);
+            return Err(self.unreachable(&slot, bound));
         }
         let (reply, answer) = oneshot::channel();
         slot.waiters.borrow_mut().push_back(Waiter { bound, reply });
         slot.wake.notify_one();
         match timeout(patience, answer).await {
             Ok(Ok(result)) => result,
-            Ok(Err(_)) | Err(_) => Err(Fault::Unreachable),
+            Ok(Err(_)) => Err(self.unreachable(&slot, bound)),
+            Err(_elapsed) => {
+                if slot.share.borrow().latency().is_stalled(self.inner.context.clock.now()) {
+                    // Those that come next need not wait as long to learn the same.
+                    self.lose(&store::Error::Unreachable("no answer while requests wait".into()));
+                }
+                Err(self.unreachable(&slot, bound))
+            }
         }
     }
 
+    fn unreachable(&self, slot: &Slot, bound: Tokens) -> Fault {
+        let Context { clock, table, .. } = &self.inner.context;
+        let wait = slot.share.borrow_mut().promise(bound, clock.now(), table.now());
+        Fault::Unreachable(wait)
+    }
+
     /// Brings the rows of all shares up to date, because the store is back.
     ///
     /// The rows vouch for much after an outage, which would be lost with this instance.
@@ -342,7 +367,10 @@
     /// Writes the share's row; returns false if other writes came before.
     async fn write(&self, slot: &Slot, txn: Txn) -> Result<bool, store::Error> {
         let Context { clock, table, log, .. } = &self.inner.context;
-        let result = table.commit(txn.clone()).await;
+        let patience = slot.share.borrow().latency().patience();
+        let late = || store::Error::Unreachable("no answer in time".into());
+        let result = timeout(patience, table.commit(txn.clone())).await;
+        let result = result.unwrap_or_else(|_elapsed| Err(late()));
         let mut share = slot.share.borrow_mut();
         match result {
             Ok(result) => {
@@ -354,7 +382,7 @@
                 Ok(applied)
             }
             Err(error) => {
-                share.unanswered();
+                share.unanswered(clock.now());
                 Err(error)
             }
         }
@@ -398,7 +426,9 @@
     fn fail(&self, slot: &Rc<Slot>) {
         self.serve(slot);
         for waiter in slot.waiters.borrow_mut().drain(..) {
-            drop(waiter.reply.send(Err(Fault::Unreachable)));
+            let fault = self.unreachable(slot, waiter.bound);
+            // A request that no longer waits has its answer.
+            drop(waiter.reply.send(Err(fault)));
         }
         slot.share.borrow_mut().want(0);
     }
--- a/crates/ledger/src/escrow/rate.rs
+++ b/crates/ledger/src/escrow/rate.rs
@@ -2,20 +2,30 @@
 
 use base::prelude::*;
 
-/// Time pub(super) constant of the mean rate of spending.
+/// Time constant of the mean rate of spending.
 pub(super) const RATE_TIME: Duration = Duration::from_secs(6);
+/// The same for the rate in a burst.
+pub(super) const BURST_TIME: Duration = Duration::from_secs(1);
 
 /// Mean rate of spending, falling off exponentially.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Rate {
+    /// Time constant.
+    time: Duration,
     per_s: f64,
     at: Duration,
 }
 
 impl Rate {
+    /// Opens a rate of zero with a time constant.
+    #[must_use]
+    pub fn open(time: Duration) -> Self {
+        Self { time, per_s: 0.0, at: Duration::ZERO }
+    }
+
     /// Takes in tokens that are spent now.
     pub fn add(&mut self, tokens: Tokens, now: Duration) {
-        self.per_s = self.get(now) + to_number(tokens) / RATE_TIME.as_secs_f64();
+        self.per_s = self.get(now) + to_number(tokens) / self.time.as_secs_f64();
         self.at = now;
     }
 
@@ -23,7 +33,7 @@
     #[must_use]
     pub fn get(&self, now: Duration) -> f64 {
         let age = now.saturating_sub(self.at).as_secs_f64();
-        self.per_s * (-age / RATE_TIME.as_secs_f64()).exp()
+        self.per_s * (-age / self.time.as_secs_f64()).exp()
     }
 }
 
--- a/crates/ledger/src/escrow/row.rs
+++ b/crates/ledger/src/escrow/row.rs
@@ -67,6 +67,30 @@
         self.granted.min(self.used.saturating_add(self.exposure).saturating_add(grown))
     }
 
+    /// Returns the time of the store's clock from which on the row vouches for so much spending.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use ledger::escrow::Held;
+    /// let held = Held { granted: 100, exposure: 20, per_s: 10, still_ms: 500, ..Held::default() };
+    /// assert_eq!(held.reached_ms(20), Some(0));
+    /// assert_eq!(held.reached_ms(50), Some(3_500));
+    /// assert_eq!(held.reached_ms(101), None);
+    /// ```
+    #[must_use]
+    pub fn reached_ms(&self, tokens: Tokens) -> Option<u64> {
+        let missing = tokens.saturating_sub(self.used.saturating_add(self.exposure));
+        if tokens > self.granted || (missing > 0 && self.per_s == 0) {
+            return None;
+        }
+        if missing == 0 {
+            return Some(self.at_ms);
+        }
+        let growth_ms = missing.saturating_mul(1_000).div_ceil(self.per_s);
+        Some(self.at_ms.saturating_add(self.still_ms).saturating_add(growth_ms))
+    }
+
     /// Returns the tokens that were not used yet when the row was written.
     #[must_use]
     pub fn free(&self) -> Tokens {
--- a/crates/ledger/src/escrow/share.rs
+++ b/crates/ledger/src/escrow/share.rs
@@ -1,16 +1,18 @@
 //! Decisions about one instance's share of one account; no I/O.
 
+mod exposure;
 mod size;
 
 use base::clock::millis;
 use base::prelude::*;
 use store::{Commit, Row, Txn};
 
-use super::rate::{Rate, to_number, to_tokens};
+use super::latency::Latency;
+use super::rate::{BURST_TIME, RATE_TIME, Rate, to_number, to_tokens};
 use super::row::{self, Held, Total};
 
 /// Age of the row at which an active holder writes it again.
-const RENEW: Duration = Duration::from_millis(1_200);
+const RENEW: Duration = Duration::from_millis(900);
 /// The same for an idle holder of tokens, as a multiple.
 const RENEW_IDLE: u32 = 3;
 /// Renewal time for each instance, so that the writes of a large fleet stay within the store's rate.
@@ -19,17 +21,7 @@
 ///
 /// A row is renewed and a killed process starts again in less, so that its successor finds only
 /// the exposure used up, while an instance that is cut from the store can go on after it.
-const STILL: Duration = Duration::from_millis(3_200);
-/// Spending beyond the last written row, in seconds of the mean rate.
-const EXPOSURE_S: f64 = 2.2;
-/// Growth of the spending that a row vouches for, in relation to the mean rate.
-const GROWTH: f64 = 3.0;
-/// Least exposure as a part of the free share, so that a new burst is not held up.
-const EXPOSURE_DIVISOR: Tokens = 10;
-/// Least growth in a second as a part of the free share.
-const GROWTH_DIVISOR: Tokens = 30;
-/// Time in which a row vouches for one more usual request, whatever the rate.
-const REQUEST_TIME_S: f64 = 3.0;
+const STILL: Duration = Duration::from_millis(2_800);
 /// Weight of a new request in the usual bound.
 const USUAL_WEIGHT: f64 = 0.2;
 /// Interval at which the account's rows are read while the share is in use.
@@ -104,6 +96,10 @@
     /// When the account's rows were read last, unless they have to be read again.
     loaded_at: Option<Duration>,
     written_at: Duration,
+    /// Requests that were told to come back, by the time that they were told.
+    promised: Vec<(Duration, Tokens)>,
+    /// When a request asked for tokens last.
+    asked_at: Duration,
     /// Unused tokens of other holders, as of `loaded_at`.
     elsewhere: Tokens,
     /// Rate of spending of other holders, as of `loaded_at`.
@@ -113,7 +109,11 @@
     /// Tokens that waiting requests ask for.
     wanted: Tokens,
     is_active: bool,
+    /// Whether the last write came after one of another instance.
+    has_conflict: bool,
     rate: Rate,
+    burst: Rate,
+    latency: Latency,
     /// Bound of a usual request.
     usual: f64,
 }
@@ -140,12 +140,17 @@
             is_owner: false,
             loaded_at: None,
             written_at: Duration::ZERO,
+            promised: Vec::new(),
+            asked_at: Duration::ZERO,
             elsewhere: 0,
             other_rate: 0.0,
             other_usual: 0.0,
             wanted: 0,
             is_active: false,
-            rate: Rate::default(),
+            has_conflict: false,
+            rate: Rate::open(RATE_TIME),
+            burst: Rate::open(BURST_TIME),
+            latency: Latency::default(),
             usual: 0.0,
         }
     }
@@ -166,11 +171,13 @@
     ///
     /// `store_now` is a time that the store's clock has certainly reached.
     pub fn reserve(&mut self, bound: Tokens, now: Duration, store_now: Option<Duration>) -> bool {
+        self.asked_at = now;
         if self.prepaid.is_some() {
             if self.committed() + bound > self.limit(store_now) {
                 return false;
             }
             self.rate.add(bound, now);
+            self.burst.add(bound, now);
             self.note(bound);
         }
         self.reserved += bound;
@@ -220,6 +227,30 @@
         self.limit(store_now).saturating_sub(self.committed())
     }
 
+    /// Returns when a request of this bound can be reserved without the store, as a time from now.
+    ///
+    /// The rows vouch for more as time passes. Each request that is told a time counts before
+    /// those that ask after it, so that they neither meet nor overtake when they come back.
+    pub fn promise(
+        &mut self,
+        bound: Tokens,
+        now: Duration,
+        store_now: Option<Duration>,
+    ) -> Option<Duration> {
+        if !self.is_owner || self.is_replaced() {
+            return None;
+        }
+        self.promised.retain(|(due, _)| *due > now);
+        let before: Tokens = self.promised.iter().map(|(_, tokens)| tokens).sum();
+        let wanted = self.committed() + before + bound;
+        let rows = [Some(self.held), self.flight, self.doubt];
+        let times = rows.into_iter().flatten().map(|held| held.reached_ms(wanted));
+        let at_ms = times.collect::<Option<Vec<u64>>>()?.into_iter().max()?;
+        let wait = Duration::from_millis(at_ms.saturating_sub(millis(store_now?)));
+        self.promised.push((now + wait, bound));
+        Some(wait)
+    }
+
     /// Returns how much may be committed in all.
     fn limit(&self, store_now: Option<Duration>) -> Tokens {
         if !self.is_owner || self.is_replaced() {
@@ -257,26 +288,30 @@
             return Step::Idle;
         }
         if self.loaded_at.is_none() {
+            self.latency.begin(now);
             return Step::Read;
         }
         // Without the store's time no lease can be written, and every answer brings it.
         let Some(store_now) = store_now else { return Step::Read };
         match self.draft(now, store_now) {
-            Some(draft) => Step::Write(self.begin(draft)),
+            Some(draft) => Step::Write(self.begin(draft, now)),
             None => Step::Idle,
         }
     }
 
     fn draft(&self, now: Duration, store_now: Duration) -> Option<Draft> {
-        let granted = self.wanted_grant(now);
-        let changes = granted != self.held.granted;
-        let out = (self.total.out + granted).saturating_sub(self.held.granted);
-        let total = changes.then_some(Total { out });
         let now_ms = millis(store_now);
         let half_used = self.held.used.saturating_add(self.held.exposure / 2);
         let is_tight = self.committed() + self.wanted > half_used
             && self.held.granted > self.held.vouched(now_ms)
             || (!self.is_owner && self.wanted > 0 && self.wanted <= self.held.granted);
+        // Others change the total as well. A renewal that is urgent does without it after a
+        // conflict, since a slow link would lose several races in a row.
+        let is_apart = self.has_conflict && is_tight && self.free() >= self.wanted;
+        let granted = if is_apart { self.held.granted } else { self.wanted_grant(now) };
+        let changes = granted != self.held.granted;
+        let out = (self.total.out + granted).saturating_sub(self.held.granted);
+        let total = changes.then_some(Total { out });
         // A share that is and was empty needs no row.
         let is_claimed = self.is_owner || self.held_revision == 0;
         if !changes && !is_tight && !self.is_old(now) && is_claimed && self.doubt.is_none() {
@@ -286,15 +321,14 @@
         let free = granted.saturating_sub(used);
         let rate = self.rate.get(now);
         let usual = to_tokens(self.usual);
-        let exposure = to_tokens(rate * EXPOSURE_S).max(usual + usual / 2).max(self.wanted);
-        let per_s = to_tokens(rate * GROWTH + self.usual / REQUEST_TIME_S);
+        let exposure = self.exposure(free, now).max(self.wanted);
         let held = Held {
             incarnation: self.incarnation,
             seq: self.held.seq + 1,
             granted,
             used,
-            exposure: exposure.max(free / EXPOSURE_DIVISOR).min(free),
-            per_s: per_s.max(free / GROWTH_DIVISOR),
+            exposure: exposure.min(free),
+            per_s: self.growth(free, now),
             still_ms: millis(STILL),
             rate: to_tokens(rate),
             usual,
@@ -312,7 +346,8 @@
         says_more && now.saturating_sub(self.written_at) >= renew
     }
 
-    fn begin(&mut self, draft: Draft) -> Txn {
+    fn begin(&mut self, draft: Draft, now: Duration) -> Txn {
+        self.latency.begin(now);
         let key = row::holder_key(&self.account, &self.holder);
         let mut txn = Txn::default();
         txn.check(key.clone(), self.held_revision);
@@ -329,6 +364,7 @@
     /// Takes in the result of the transaction that the last step asked for.
     pub fn written(&mut self, txn: &Txn, result: &Commit, now: Duration) {
         let Some(flight) = self.flight.take() else { return };
+        self.latency.end(now);
         match result {
             Commit::Applied(revision) => {
                 self.held = flight;
@@ -336,6 +372,7 @@
                 self.is_owner = true;
                 self.doubt = None;
                 self.written_at = now;
+                self.has_conflict = false;
                 self.is_active = self.reserved > 0;
                 let total = txn.writes.get(1).and_then(|write| write.value.clone());
                 if let Some(Ok(total)) = total.map(serde_json::from_value) {
@@ -344,6 +381,7 @@
                 }
             }
             Commit::Conflict(rows) => {
+                self.has_conflict = true;
                 for check in &txn.checks {
                     match rows.iter().find(|row| row.key == check.key) {
                         Some(row) => self.adopt(row),
@@ -358,10 +396,17 @@
         }
     }
 
+    /// Returns how long the store takes to answer.
+    #[must_use]
+    pub fn latency(&self) -> &Latency {
+        &self.latency
+    }
+
     /// Notes that the transaction that the last step asked for got no answer.
     ///
     /// It may be applied later, until another write of the row goes before it.
-    pub fn unanswered(&mut self) {
+    pub fn unanswered(&mut self, now: Duration) {
+        self.latency.fail(now);
         if let Some(flight) = self.flight.take() {
             self.doubt = Some(self.doubt.map_or(flight, |doubt| doubt.narrower(flight)));
         }
@@ -449,7 +494,8 @@
             return false;
         }
         let is_used = self.free() > 0 || self.is_active;
-        self.is_old(now) || self.loaded_at.is_none() || (is_used && self.is_unread(now))
+        let is_idle = self.is_owner && self.wanted_grant(now) < self.held.granted;
+        is_idle || self.is_old(now) || self.loaded_at.is_none() || (is_used && self.is_unread(now))
     }
 
     /// Returns true if the other rows of the account should be read.
--- a/crates/ledger/src/escrow/share/size.rs
+++ b/crates/ledger/src/escrow/share/size.rs
@@ -11,6 +11,10 @@
 const HELD_SHARE_LATE: f64 = 0.5;
 /// Part of the budget from which on its end is near.
 const LATE: f64 = 0.2;
+/// Part of the budget from which on a share that is not used goes back.
+const LAST: f64 = 0.1;
+/// Time without a request after which it does.
+const IDLE_LAST: Duration = Duration::from_millis(800);
 /// The part of an unused budget that is held, while nobody has spent anything, so that those who begin can take more at once.
 const UNUSED_SHARE: f64 = 0.5;
 /// A share below this part of its target is filled up.
@@ -31,14 +35,14 @@
     }
 
     /// Returns what is left of the budget, as far as this instance knows.
-    fn left(&self) -> Tokens {
+    pub(super) fn left(&self) -> Tokens {
         self.available().saturating_add(self.free()).saturating_add(self.elsewhere)
     }
 
     /// Returns the part of all shares that this instance should hold.
     ///
     /// It follows the rates of spending, since the callers of an account may all use one instance.
-    fn weight(&self, now: Duration) -> f64 {
+    pub(super) fn weight(&self, now: Duration) -> f64 {
         let instances = f64::from(u32::try_from(self.instances).unwrap_or(u32::MAX));
         let own = self.rate.get(now);
         let all = own + self.other_rate;
@@ -49,19 +53,27 @@
         (own + even) / (all + even * instances)
     }
 
-    /// Returns the size that the free part of the share should have.
-    pub(super) fn target(&self, now: Duration) -> Tokens {
-        if self.instances == 0 {
-            return 0;
-        }
+    /// Returns the part of what is left that all shares should hold together.
+    fn held_share(&self, now: Duration) -> f64 {
         let is_used = self.rate.get(now) + self.other_rate > RATE_MIN;
         let is_late = self.left() < part(self.prepaid.unwrap_or_default(), LATE);
-        let held = match (is_used, is_late) {
+        match (is_used, is_late) {
             (false, _) => UNUSED_SHARE,
             (true, false) => HELD_SHARE,
             (true, true) => HELD_SHARE_LATE,
-        };
-        let fair = part(self.left(), held * self.weight(now));
+        }
+    }
+
+    /// Returns the size that the free part of the share should have.
+    pub(super) fn target(&self, now: Duration) -> Tokens {
+        if self.instances == 0 {
+            return 0;
+        }
+        let is_last = self.left() < part(self.prepaid.unwrap_or_default(), LAST);
+        if is_last && now.saturating_sub(self.asked_at) > IDLE_LAST {
+            return 0;
+        }
+        let fair = part(self.left(), self.held_share(now) * self.weight(now));
         let usual = if self.usual > 0.0 { self.usual } else { self.other_usual };
         let is_scarce = fair < to_tokens(SCARCE_REQUESTS * usual);
         if self.standing == Standing::Closing || is_scarce { 0 } else { fair }
@@ -74,7 +86,12 @@
         let free = granted.saturating_sub(self.committed());
         let keep = target.max(self.wanted);
         if free < self.wanted || free < part(target, LOW_SHARE) {
-            let more = (self.committed() + keep).saturating_sub(granted).min(self.available());
+            // All think that they spend most until they have read the rows of the others, so
+            // that a part stays for requests that wait.
+            let reserve = part(self.left(), 1.0 - self.held_share(now));
+            let spare = self.available().saturating_sub(reserve);
+            let waits = self.wanted.saturating_sub(free).min(self.available());
+            let more = (self.committed() + keep).saturating_sub(granted).min(spare).max(waits);
             let serves = free < self.wanted && free + more >= self.wanted;
             // A small grant that serves no waiting request is not worth a write.
             if serves || more > part(target, 1.0 - LOW_SHARE) {
--- a/crates/ledger/tests/escrow.rs
+++ b/crates/ledger/tests/escrow.rs
@@ -134,13 +134,13 @@
             }
             (Step::Write(txn), Fate::Lost) => {
                 self.platform.apply(&txn);
-                node.share.unanswered();
+                node.share.unanswered(now);
             }
             (Step::Write(txn), Fate::Delayed) => {
                 self.delayed.push(txn);
-                node.share.unanswered();
+                node.share.unanswered(now);
             }
-            (Step::Write(_), Fate::Refused) => node.share.unanswered(),
+            (Step::Write(_), Fate::Refused) => node.share.unanswered(now),
         }
     }
 
@@ -229,7 +229,7 @@
     let Step::Write(txn) = share.step(now, Some(now)) else { panic!("the share goes back") };
     assert!(!share.reserve(1, now, Some(now)), "the write is under way");
     platform.apply(&txn);
-    share.unanswered();
+    share.unanswered(now);
     assert!(!share.reserve(1, now, Some(now)), "the write may have been applied");
     run(&mut share, &platform, now);
     assert!(!share.reserve(1, now, Some(now)), "the write was applied");
