--- a/crates/h1/src/conn.rs
+++ b/crates/h1/src/conn.rs
@@ -57,15 +57,6 @@
         Self::accepted(stream, silence)
     }
 
-    /// Asks for a receive buffer of `bytes`, so that a large answer fills a link that is slow.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the socket does not take the option.
-    pub fn widen(&self, bytes: usize) -> io::Result<()> {
-        Ok(sockopt::set_socket_recv_buffer_size(&self.stream, bytes)?)
-    }
-
     /// Waits for more bytes and returns how many came; 0 means that the peer has ended.
     ///
     /// # Errors
--- a/crates/ledger/src/escrow/share.rs
+++ b/crates/ledger/src/escrow/share.rs
@@ -24,6 +24,8 @@
 const STILL: Duration = Duration::from_millis(2_800);
 /// Weight of a new request in the usual bound.
 const USUAL_WEIGHT: f64 = 0.2;
+/// Longest time after which a caller is told to come back; most have given up by then.
+const PROMISE_MAX: Duration = Duration::from_secs(10);
 /// Interval at which the account's rows are read while the share is in use.
 const LOOK: Duration = Duration::from_secs(4);
 /// The same while little of the budget is left, so that idle shares go back soon.
@@ -247,6 +249,9 @@
         let times = rows.into_iter().flatten().map(|held| held.reached_ms(wanted));
         let at_ms = times.collect::<Option<Vec<u64>>>()?.into_iter().max()?;
         let wait = Duration::from_millis(at_ms.saturating_sub(millis(store_now?)));
+        if wait > PROMISE_MAX {
+            return None;
+        }
         self.promised.push((now + wait, bound));
         Some(wait)
     }
