Name the last bare figures of the shares, and gather their rows in one place

Found when the whole change was read again: the rows of which any may be in the store were listed three times in Share, the rate with its burst was computed twice, and four weights had no name. One function each, and named constants; no behaviour changes.

--- a/crates/ledger/src/escrow/keeper.rs
+++ b/crates/ledger/src/escrow/keeper.rs
@@ -368,9 +368,9 @@
     async fn write(&self, slot: &Slot, txn: Txn) -> Result<bool, store::Error> {
         let Context { clock, table, log, .. } = &self.inner.context;
         let patience = slot.share.borrow().latency().patience();
-        let late = || store::Error::Unreachable("no answer in time".into());
-        let result = timeout(patience, table.commit(txn.clone())).await;
-        let result = result.unwrap_or_else(|_elapsed| Err(late()));
+        let result = timeout(patience, table.commit(txn.clone()))
+            .await
+            .unwrap_or_else(|_elapsed| Err(store::Error::Unreachable("no answer in time".into())));
         let mut share = slot.share.borrow_mut();
         match result {
             Ok(result) => {
--- a/crates/ledger/src/escrow/share.rs
+++ b/crates/ledger/src/escrow/share.rs
@@ -245,8 +245,7 @@
         self.promised.retain(|(due, _)| *due > now);
         let before: Tokens = self.promised.iter().map(|(_, tokens)| tokens).sum();
         let wanted = self.committed() + before + bound;
-        let rows = [Some(self.held), self.flight, self.doubt];
-        let times = rows.into_iter().flatten().map(|held| held.reached_ms(wanted));
+        let times = self.rows().map(|held| held.reached_ms(wanted));
         let at_ms = times.collect::<Option<Vec<u64>>>()?.into_iter().max()?;
         let wait = Duration::from_millis(at_ms.saturating_sub(millis(store_now?)));
         if wait > PROMISE_MAX {
@@ -256,20 +255,23 @@
         Some(wait)
     }
 
+    /// Returns the rows of which any may be in the store now.
+    fn rows(&self) -> impl Iterator<Item = Held> {
+        [Some(self.held), self.flight, self.doubt].into_iter().flatten()
+    }
+
     /// Returns how much may be committed in all.
     fn limit(&self, store_now: Option<Duration>) -> Tokens {
         if !self.is_owner || self.is_replaced() {
             return 0;
         }
         let now_ms = store_now.map_or(0, millis);
-        let rows = [Some(self.held), self.flight, self.doubt];
-        rows.into_iter().flatten().map(|held| held.vouched(now_ms)).min().unwrap_or_default()
+        self.rows().map(|held| held.vouched(now_ms)).min().unwrap_or_default()
     }
 
     /// Returns what is granted whatever became of writes without an answer.
     fn sure_grant(&self) -> Tokens {
-        let rows = [Some(self.held), self.flight, self.doubt];
-        rows.into_iter().flatten().map(|held| held.granted).min().unwrap_or_default()
+        self.rows().map(|held| held.granted).min().unwrap_or_default()
     }
 
     /// Returns why a request of this bound cannot be served; `None` if the rows must be read.
--- a/crates/ledger/src/escrow/share/exposure.rs
+++ b/crates/ledger/src/escrow/share/exposure.rs
@@ -20,24 +20,32 @@
 const EXPOSURE_BUDGET: f64 = 0.042;
 /// The same as a part of what is left, so that it is small once the end is in sight.
 const EXPOSURE_LEFT: f64 = 0.14;
-/// Spending that the exposure always covers besides that of two writes, in seconds.
+/// Writes that the exposure always lasts for: half of it is left when one begins.
+const WRITES: f64 = 2.0;
+/// Spending that it covers besides, in seconds.
 const WRITE_MARGIN_S: f64 = 0.15;
 /// Free share in usual requests from which on the exposure covers at least one of them.
 const AMPLE_REQUESTS: f64 = 25.0;
+/// Usual requests that the exposure of such a share covers.
+const LEAST_REQUESTS: f64 = 1.5;
 /// Least growth in a second as a part of the free share.
 const GROWTH_DIVISOR: Tokens = 30;
 /// Time in which a row vouches for one more usual request, whatever the rate.
 const REQUEST_TIME_S: f64 = 3.0;
 
 impl Share {
+    /// Returns the mean rate of spending, or the higher one of a burst.
+    fn recent_rate(&self, now: Duration) -> f64 {
+        self.rate.get(now).max(self.burst.get(now))
+    }
+
     /// Returns how much may be spent beyond the next row until it is old.
     pub(super) fn exposure(&self, free: Tokens, now: Duration) -> Tokens {
         let is_ample = to_number(free) > AMPLE_REQUESTS * self.usual;
-        let least = if is_ample { to_tokens(1.5 * self.usual) } else { 0 };
-        let rate = self.rate.get(now).max(self.burst.get(now));
+        let least = if is_ample { to_tokens(LEAST_REQUESTS * self.usual) } else { 0 };
+        let rate = self.recent_rate(now);
         let lasting = to_tokens(rate * EXPOSURE_S);
-        // Half of it is left when the next write begins, and has to last until that has ended.
-        let write_s = 2.0 * self.latency.slowest().as_secs_f64() + WRITE_MARGIN_S;
+        let write_s = WRITES * self.latency.slowest().as_secs_f64() + WRITE_MARGIN_S;
         let least = least.max(to_tokens(rate * write_s));
         let all = part(self.prepaid.unwrap_or_default(), EXPOSURE_BUDGET)
             .min(part(self.left(), EXPOSURE_LEFT));
@@ -47,7 +55,7 @@
 
     /// Returns how much more may be spent in each second once the next row is old.
     pub(super) fn growth(&self, free: Tokens, now: Duration) -> Tokens {
-        let rate = self.rate.get(now).max(self.burst.get(now));
+        let rate = self.recent_rate(now);
         to_tokens(rate * GROWTH + self.usual / REQUEST_TIME_S).max(free / GROWTH_DIVISOR)
     }
 }
--- a/crates/ledger/src/escrow/share/size.rs
+++ b/crates/ledger/src/escrow/share/size.rs
@@ -9,20 +9,22 @@
 const HELD_SHARE: f64 = 0.8;
 /// The same near the end of the budget, when a request may need what several shares hold.
 const HELD_SHARE_LATE: f64 = 0.5;
+/// The same while nobody has spent anything, so that those who begin can take more at once.
+const UNUSED_SHARE: f64 = 0.5;
 /// Part of the budget from which on its end is near.
 const LATE: f64 = 0.2;
 /// Part of the budget from which on a share that is not used goes back.
 const LAST: f64 = 0.1;
 /// Time without a request after which it does.
 const IDLE_LAST: Duration = Duration::from_millis(800);
-/// The part of an unused budget that is held, while nobody has spent anything, so that those who begin can take more at once.
-const UNUSED_SHARE: f64 = 0.5;
 /// A share below this part of its target is filled up.
 const LOW_SHARE: f64 = 0.7;
 /// A share above this part of its target gives the rest back.
 const HIGH_SHARE: f64 = 1.4;
 /// With a fair share below this many usual requests, tokens are taken for each request.
 const SCARCE_REQUESTS: f64 = 1.5;
+/// Part of a usual request below which free tokens are not worth a write to give them back.
+const REST_REQUEST: f64 = 0.25;
 /// Part of the shares that is spread evenly, as callers may come to any instance.
 const EVEN_SHARE: f64 = 0.1;
 /// Rate in tokens a second that counts as none, so that unused budgets are spread evenly.
@@ -98,7 +100,8 @@
                 return granted + more;
             }
         }
-        let most = part(target, HIGH_SHARE).max(self.wanted).max(to_tokens(self.usual / 4.0));
+        let most =
+            part(target, HIGH_SHARE).max(self.wanted).max(to_tokens(self.usual * REST_REQUEST));
         if free > most || (self.standing == Standing::Closing && free > 0) {
             return self.committed() + keep;
         }
