--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -41,6 +41,14 @@
     fn now(&self) -> Option<Duration> {
         None
     }
+
+    /// Returns a number that rises when the table is restored from a copy.
+    ///
+    /// A restore loses the writes since the copy was made, and their revisions are given out again.
+    /// `None` if the table has not answered yet; a table that is never restored returns 0.
+    fn era(&self) -> Option<u64> {
+        Some(0)
+    }
 }
 
 /// Object store of the platform, meant for objects that do not change.
--- a/crates/store/src/memory.rs
+++ b/crates/store/src/memory.rs
@@ -10,9 +10,17 @@
 
 use crate::{Commit, Listing, Pending, Row, Txn};
 
+/// Copy of all rows, from which the table can be restored.
+#[derive(Debug, Clone)]
+pub struct Backup {
+    rows: BTreeMap<String, Row>,
+    revision: u64,
+}
+
 #[derive(Debug, Default)]
 struct State {
     rows: BTreeMap<String, Row>,
+    era: u64,
     objects: BTreeMap<String, Vec<u8>>,
     instances: Vec<Listing>,
     revision: u64,
@@ -81,6 +89,34 @@
         })
     }
 
+    /// Copies all rows.
+    pub fn backup(&self) -> Backup {
+        self.lock(|state| Backup { rows: state.rows.clone(), revision: state.revision })
+    }
+
+    /// Replaces all rows by those of a copy and raises the era.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use store::{Table, Txn, memory::Platform};
+    /// let platform = Platform::default();
+    /// let backup = platform.backup();
+    /// let mut txn = Txn::default();
+    /// txn.put("budget/a", &7);
+    /// platform.apply(&txn);
+    /// platform.restore(&backup);
+    /// assert!(platform.read(&["budget/a".into()]).is_empty());
+    /// assert_eq!(platform.era(), Some(1));
+    /// ```
+    pub fn restore(&self, backup: &Backup) {
+        self.lock(|state| {
+            state.rows.clone_from(&backup.rows);
+            state.revision = backup.revision;
+            state.era += 1;
+        });
+    }
+
     /// Reads rows by key; keys without a row are left out.
     pub fn read(&self, keys: &[String]) -> Vec<Row> {
         self.lock(|state| keys.iter().filter_map(|key| state.rows.get(key)).cloned().collect())
@@ -146,6 +182,10 @@
     fn now(&self) -> Option<Duration> {
         Some(self.clock_origin.elapsed())
     }
+
+    fn era(&self) -> Option<u64> {
+        Some(self.lock(|state| state.era))
+    }
 }
 
 impl crate::Objects for Platform {
--- a/crates/store/src/row.rs
+++ b/crates/store/src/row.rs
@@ -8,7 +8,7 @@
 pub struct Row {
     /// Unique key, whose first segment names the kind of the row.
     pub key: String,
-    /// Revision of the last write; revisions only grow and are never reused.
+    /// Revision of the last write; revisions grow, and are reused only after a restore.
     pub revision: u64,
     /// Content of the row, as the JSON of its row type.
     pub value: Value,
