--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -75,6 +75,7 @@
             crash_record_inbox,
             Rc::clone(&table),
             platform.poll_interval,
+            shared.log.clone(),
         ));
         let (fleet, clock) = (Arc::clone(&shared.upstreams), Arc::clone(&shared.clock));
         let poller = Poller::open(fleet, clock, settings.route.clone(), shared.log.clone()).await;
--- a/crates/route/src/poison/cache.rs
+++ b/crates/route/src/poison/cache.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 
 use super::record::Record;
 use super::{Fingerprint, Verdict};
@@ -69,13 +69,27 @@
     }
 
     /// Replaces the shared records by those of the table and drops expired local ones.
+    ///
+    /// Local records that the table contains are dropped, too.
     pub fn replace_shared(&self, read: Vec<(Fingerprint, Record)>, now_ms: u64) {
         self.with_records(|records| {
             records.shared = read.into_iter().take(MAX_RECORDS).collect();
-            records.local.retain(|_, record| !record.is_expired(now_ms));
+            let shared = &records.shared;
+            records.local.retain(|fingerprint, record| {
+                let is_shared = shared.get(fingerprint).is_some_and(|known| known.contains(record));
+                !record.is_expired(now_ms) && !is_shared
+            });
         });
     }
 
+    /// Returns the records that the table does not contain.
+    pub fn unpublished(&self) -> Vec<(Fingerprint, Record)> {
+        self.with_records(|records| {
+            let local = records.local.iter();
+            local.map(|(fingerprint, record)| (Arc::clone(fingerprint), record.clone())).collect()
+        })
+    }
+
     /// Runs `f` under the lock and updates the flag that [`Self::is_empty`] reads.
     fn with_records<T>(&self, f: impl FnOnce(&mut Records) -> T) -> T {
         let mut records = self.records.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/route/src/poison/client.rs
+++ b/crates/route/src/poison/client.rs
@@ -7,6 +7,7 @@
 use futures::channel::{mpsc, oneshot};
 use futures::future::{LocalBoxFuture, ready};
 use futures::{FutureExt, StreamExt};
+use slog::{Logger, info, warn};
 use tokio::time::{sleep, timeout};
 
 use super::cache::Cache;
@@ -113,30 +114,60 @@
 /// Executes the commands of a client until all its clones are dropped.
 ///
 /// `poll_interval` is the interval at which all records are read from the table.
-pub async fn serve(inbox: Inbox, rows: Rc<dyn store::Table>, poll_interval: Duration) {
+pub async fn serve(inbox: Inbox, rows: Rc<dyn store::Table>, poll_interval: Duration, log: Logger) {
     let Inbox { cache, clock, commands } = inbox;
     let table = Rc::new(Table::open(rows, clock));
-    let refreshing = refresh(Rc::clone(&table), Arc::clone(&cache), poll_interval);
+    let refreshing = refresh(Rc::clone(&table), Arc::clone(&cache), poll_interval, log.clone());
     let executing = commands.for_each_concurrent(None, |command| {
-        let (table, cache) = (Rc::clone(&table), Arc::clone(&cache));
-        async move { execute(&table, &cache, command, poll_interval).await }
+        let (table, cache, log) = (Rc::clone(&table), Arc::clone(&cache), log.clone());
+        async move { execute(&table, &cache, command, poll_interval, &log).await }
     });
     futures::future::select(refreshing.boxed_local(), executing.boxed_local())
         .then(|_| ready(()))
         .await;
 }
 
-async fn refresh(table: Rc<Table>, cache: Arc<Cache>, poll_interval: Duration) {
+async fn refresh(table: Rc<Table>, cache: Arc<Cache>, poll_interval: Duration, log: Logger) {
+    let mut is_down = false;
     loop {
         // While the table is unreachable the cached records stay in force.
-        if let Ok(records) = table.read_records().await {
-            cache.replace_shared(records, millis(table.wall()));
+        let result = match table.read_records().await {
+            Ok(records) => {
+                cache.replace_shared(records, millis(table.wall()));
+                publish(&table, &cache, &log).await
+            }
+            Err(error) => Err(error),
+        };
+        match &result {
+            Err(error) if !is_down => {
+                warn!(log, "store lost"; "dependency" => "crash records", "error" => %error);
+            }
+            Ok(()) if is_down => info!(log, "store regained"; "dependency" => "crash records"),
+            _ => {}
         }
+        is_down = result.is_err();
         sleep(poll_interval).await;
     }
 }
 
-async fn execute(table: &Table, cache: &Cache, command: Command, poll_interval: Duration) {
+/// Writes the records to the table that it does not contain.
+async fn publish(table: &Table, cache: &Cache, log: &Logger) -> Result<(), store::Error> {
+    for (fingerprint, record) in cache.unpublished() {
+        let merged = table.merge_record(&fingerprint, &record).await?;
+        info!(log, "crash record published"; "fingerprint" => fingerprint.as_ref(),
+            "crashes" => merged.crashes.len());
+        cache.add_shared(&fingerprint, &merged);
+    }
+    Ok(())
+}
+
+async fn execute(
+    table: &Table,
+    cache: &Cache,
+    command: Command,
+    poll_interval: Duration,
+    log: &Logger,
+) {
     match command {
         Command::Trial(fingerprint, upstream, sender) => {
             // Every instance must have read the first crash before a second one can happen, so
@@ -150,9 +181,17 @@
             sender.send(admission.unwrap_or(Admission::Unreachable)).unwrap_or_default();
         }
         Command::Report(crash, sender) => {
-            let Ok(record) = table.report_crash(&crash).await else { return };
-            cache.add_shared(&crash.fingerprint, &record);
-            sender.send(record.verdict(millis(table.wall()))).unwrap_or_default();
+            match table.report_crash(&crash).await {
+                Ok(record) => {
+                    cache.add_shared(&crash.fingerprint, &record);
+                    sender.send(record.verdict(millis(table.wall()))).unwrap_or_default();
+                }
+                // The dropped sender makes the client record the crash at this instance.
+                Err(error) => {
+                    warn!(log, "crash not recorded in the store"; "error" => %error,
+                        "fingerprint" => crash.fingerprint.as_ref(), "run" => &crash.run_id);
+                }
+            }
         }
         Command::Clear(fingerprint, upstream) => {
             // A record that cannot be removed expires.
--- a/crates/route/src/poison/record.rs
+++ b/crates/route/src/poison/record.rs
@@ -46,6 +46,12 @@
         }
     }
 
+    /// Returns true if this record has all crashes of another one.
+    #[must_use]
+    pub fn contains(&self, other: &Self) -> bool {
+        other.crashes.keys().all(|run_id| self.crashes.contains_key(run_id))
+    }
+
     /// Classifies the request by the crashes of the record at time `now`.
     #[must_use]
     pub fn verdict(&self, now: Millis) -> Verdict {
--- a/crates/route/src/poison/table.rs
+++ b/crates/route/src/poison/table.rs
@@ -137,6 +137,36 @@
         Err(store::Error::Unreachable("too many concurrent writes of one record".into()))
     }
 
+    /// Merges a record into that of the table and returns the resulting one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the table cannot be reached.
+    pub async fn merge_record(
+        &self,
+        fingerprint: &str,
+        record: &Record,
+    ) -> Result<Record, store::Error> {
+        let key = format!("{RECORDS}{fingerprint}");
+        for _ in 0..COMMIT_ATTEMPTS {
+            let rows = self.rows.get(vec![key.clone()]).await?;
+            let (revision, stored) = decode::<Record>(&rows, &key);
+            let mut merged =
+                stored.filter(|stored| !stored.is_expired(self.now_ms())).unwrap_or_default();
+            if merged.contains(record) {
+                return Ok(merged);
+            }
+            merged.merge(record);
+            let mut txn = Txn::default();
+            txn.check(&key, revision);
+            txn.put(&key, &merged);
+            if let Commit::Applied(_) = self.rows.commit(txn).await? {
+                return Ok(merged);
+            }
+        }
+        Err(store::Error::Unreachable("too many concurrent writes of one record".into()))
+    }
+
     /// Removes the record of a completed suspect and its trial; a guilty record stays.
     ///
     /// # Errors
--- a/crates/route/tests/crash_records.rs
+++ b/crates/route/tests/crash_records.rs
@@ -13,6 +13,7 @@
 use futures::future::ready;
 use route::poison::client::{self, Client};
 use route::poison::{Crash, Fingerprint, Suspects, Verdict, fingerprint};
+use slog::{Discard, Logger, o};
 use store::memory::Platform;
 use store::{Commit, Error, Pending, Row, Table, Txn};
 
@@ -63,7 +64,7 @@
     clock.advance(Duration::from_secs(1_000));
     let (client, inbox) = client::open(clock as Arc<dyn Clock>);
     let rows: Rc<dyn Table> = Rc::clone(table) as Rc<dyn Table>;
-    ntex::rt::spawn(client::serve(inbox, rows, POLL_INTERVAL));
+    ntex::rt::spawn(client::serve(inbox, rows, POLL_INTERVAL, Logger::root(Discard, o!())));
     client
 }
 
