--- a/crates/route/src/poison/cache.rs
+++ b/crates/route/src/poison/cache.rs
@@ -82,6 +82,15 @@
         });
     }
 
+    /// Treats the shared records as local ones, because the table may have lost them in a restore.
+    pub fn unshare(&self) {
+        self.with_records(|records| {
+            for (fingerprint, record) in std::mem::take(&mut records.shared) {
+                merge_into(&mut records.local, &fingerprint, &record);
+            }
+        });
+    }
+
     /// Returns the records that the table does not contain.
     pub fn unpublished(&self) -> Vec<(Fingerprint, Record)> {
         self.with_records(|records| {
--- a/crates/route/src/poison/client.rs
+++ b/crates/route/src/poison/client.rs
@@ -129,10 +129,16 @@
 
 async fn refresh(table: Rc<Table>, cache: Arc<Cache>, poll_interval: Duration, log: Logger) {
     let mut is_down = false;
+    let mut last_era = None;
     loop {
         // While the table is unreachable the cached records stay in force.
         let result = match table.read_records().await {
             Ok(records) => {
+                let era = table.era();
+                if last_era.replace(era).is_some_and(|last| last != era) {
+                    warn!(log, "crash records kept after a restore of the store");
+                    cache.unshare();
+                }
                 cache.replace_shared(records, millis(table.wall()));
                 publish(&table, &cache, &log).await
             }
--- a/crates/route/src/poison/table.rs
+++ b/crates/route/src/poison/table.rs
@@ -54,6 +54,12 @@
         self.clock.wall()
     }
 
+    /// Returns the era of the table; see [`store::Table::era`].
+    #[must_use]
+    pub fn era(&self) -> Option<u64> {
+        self.rows.era()
+    }
+
     fn now_ms(&self) -> u64 {
         millis(self.wall())
     }
