--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -399,7 +399,7 @@
     }
 
     /// Reports a crash if a connection was lost and a new connect fails.
-    fn detect_crash(&self, upstream: &Rc<Upstream>, error: &h1::Error) {
+    pub fn detect_crash(&self, upstream: &Rc<Upstream>, error: &h1::Error) {
         if !matches!(error, h1::Error::UnexpectedEof | h1::Error::Io(_)) {
             return;
         }
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -1,5 +1,7 @@
 //! Delivery of an upstream's answer to the caller, and settlement of its cost.
 
+use std::rc::Rc;
+
 use base::clock::millis;
 use base::prelude::*;
 use bytes::{Bytes, BytesMut};
@@ -95,6 +97,7 @@
             return Stream::open(call, answer).run(conn, keep_open).await;
         }
         answer.record_slowness(call.front.clock.now());
+        let upstream = Rc::clone(answer.flight.upstream());
         match read_answer(&call, conn, answer).await {
             Ok((head, body)) => return write_answer(call, conn, &head, &body, keep_open).await,
             Err(Interruption::CallerGone) => return abandon(call, "during the answer"),
@@ -104,8 +107,10 @@
             }
             Err(Interruption::Upstream(error)) => {
                 call.may_have_run = true;
+                call.detect_crash(&upstream, &error);
                 info!(call.front.log, "answer broke off";
-                    "request" => call.params.request_id.as_ref(), "error" => %error);
+                    "request" => call.params.request_id.as_ref(), "error" => %error,
+                    "upstream" => upstream.entry.id.as_ref());
                 if !call.may_resume() {
                     let refusal = Refusal::unknown(502, "upstream_broke_off");
                     return write_refusal(call, conn, &refusal, keep_open).await;
@@ -288,6 +293,7 @@
                 Err(Interruption::Upstream(error)) => {
                     let now = self.call.front.clock.now();
                     self.answer.flight.upstream().record_failure(now);
+                    self.call.detect_crash(self.answer.flight.upstream(), &error);
                     info!(self.call.front.log, "stream broke off";
                         "request" => self.call.params.request_id.as_ref(), "error" => %error,
                         "upstream" => self.answer.flight.upstream().entry.id.as_ref(),
