--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -405,11 +405,14 @@
         }
         let front = Rc::clone(&self.front);
         let upstream = Rc::clone(upstream);
+        let entry = &upstream.entry;
         let crash = Crash {
             fingerprint: self.fingerprint(),
-            run_id: self.params.request_id.to_string(),
-            upstream: Arc::clone(&upstream.entry.id),
+            // Equal requests at one crash count once, and the attempts of one request each.
+            run_id: format!("{}@{}", entry.id, entry.born),
+            upstream: Arc::clone(&entry.id),
         };
+        let request = self.params.request_id.clone();
         ntex::rt::spawn(async move {
             let address = upstream.entry.address;
             match Conn::open(address, CONNECT_TIMEOUT, front.unacked_timeout).await {
@@ -417,7 +420,7 @@
                 Ok(conn) => upstream.release(conn, None, front.clock.now()),
                 Err(error) => {
                     upstream.eject(front.clock.now());
-                    info!(front.log, "upstream crashed"; "request" => &crash.run_id,
+                    info!(front.log, "upstream crashed"; "request" => request.as_ref(),
                         "upstream" => crash.upstream.as_ref(), "error" => %error);
                     let verdict = front.suspects.report_crash(crash).await;
                     info!(front.log, "crash reported"; "verdict" => ?verdict);
--- a/crates/route/src/poison.rs
+++ b/crates/route/src/poison.rs
@@ -79,7 +79,7 @@
 pub struct Crash {
     /// Fingerprint of the request in flight.
     pub fingerprint: Fingerprint,
-    /// Id of the run; repeated reports of one run count once.
+    /// Id of the run, or of the upstream's incarnation; repeated reports of one id count once.
     pub run_id: String,
     /// Id of the upstream that crashed.
     pub upstream: UpstreamId,
