--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -265,6 +265,14 @@
         }
     }
 
+    /// Ends the suspicion against a request that an upstream has run to the end.
+    pub fn report_completion(&self, upstream: &UpstreamId) {
+        let suspects = &self.front.suspects;
+        if !suspects.is_empty() {
+            suspects.report_completion(&self.fingerprint(), upstream);
+        }
+    }
+
     fn fingerprint(&self) -> poison::Fingerprint {
         let account = self.account.as_deref().unwrap_or_default();
         poison::fingerprint(account, &self.head.target, &self.body)
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -99,7 +99,12 @@
         answer.record_slowness(call.front.clock.now());
         let upstream = Rc::clone(answer.flight.upstream());
         match read_answer(&call, conn, answer).await {
-            Ok((head, body)) => return write_answer(call, conn, &head, &body, keep_open).await,
+            Ok((head, body)) => {
+                if head.status < 400 {
+                    call.report_completion(&upstream.entry.id);
+                }
+                return write_answer(call, conn, &head, &body, keep_open).await;
+            }
             Err(Interruption::CallerGone) => return abandon(call, "during the answer"),
             Err(Interruption::Deadline) => {
                 let refusal = Refusal::unknown(504, "deadline_exceeded");
@@ -425,6 +430,7 @@
         settle(&mut self.call, used);
         record_end(&self.call, self.head.status, self.delivered_events, "stream complete");
         let Answer { conn: upstream, metadata, flight, is_reusable, .. } = self.answer;
+        self.call.report_completion(&flight.upstream().entry.id);
         if is_reusable {
             let now = self.call.front.clock.now();
             flight.upstream().release(upstream, metadata.keep_alive, now);
