--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -420,7 +420,7 @@
             run_id: format!("{}@{}", entry.id, entry.born),
             upstream: Arc::clone(&entry.id),
         };
-        let request = self.params.request_id.clone();
+        let request = Arc::clone(&self.params.request_id);
         ntex::rt::spawn(async move {
             let address = upstream.entry.address;
             match Conn::open(address, CONNECT_TIMEOUT, front.unacked_timeout).await {
