--- a/crates/ledger/src/escrow.rs
+++ b/crates/ledger/src/escrow.rs
@@ -8,6 +8,10 @@
 //! second, up to the size of the share. The holder never commits more than this limit. When the
 //! instance restarts, it therefore reclaims all tokens of the share above the limit.
 //!
+//! A restore of the store from a copy loses the newest rows. Each holder then writes its share
+//! again, and nobody takes tokens until the holders have had time for it: the restored total does
+//! not contain what they took since the copy was made.
+//!
 //! [`share::Share`] makes the decisions without I/O; [`driver::Escrow`] runs it against the store.
 
 pub mod driver;
--- a/crates/ledger/src/escrow/driver.rs
+++ b/crates/ledger/src/escrow/driver.rs
@@ -308,7 +308,9 @@
             let now = self.inner.context.clock.now();
             for entry in self.inner.entries.borrow().values() {
                 let mut share = entry.share.borrow_mut();
-                if share.needs_step(now) {
+                let era = self.inner.context.table.era();
+                let is_restored = share.era().is_some() && share.era() < era;
+                if is_restored || share.needs_step(now) {
                     if share.is_read_due(now) {
                         share.invalidate_rows();
                     }
@@ -325,6 +327,7 @@
             self.admit_waiters(entry);
             let Context { clock, table, .. } = &self.inner.context;
             let (now, store_now) = (clock.now(), table.now());
+            entry.share.borrow_mut().enter_era(table.era());
             let step = entry.share.borrow_mut().step(now, store_now);
             let result = match step {
                 Step::Read => self.read_rows(entry).await,
@@ -341,6 +344,11 @@
                 Step::Idle if self.reject_first_waiter(entry) => Ok(()),
                 Step::Idle => return,
             };
+            if matches!(result, Err(store::Error::Restored)) {
+                warn!(self.inner.context.log, "share written again after a restore of the store";
+                    "account" => %entry.account);
+                continue;
+            }
             if let Err(error) = result {
                 self.note_outage(&error);
                 self.reject_waiters(entry);
@@ -372,6 +380,7 @@
         let store_now =
             table.now().ok_or_else(|| store::Error::Malformed("no store time".into()))?;
         let mut share = entry.share.borrow_mut();
+        share.enter_era(table.era());
         share.handle_rows(&rows, now, store_now);
         debug!(log, "share read"; "account" => %entry.account, "free" => share.free());
         Ok(())
--- a/crates/ledger/src/escrow/row.rs
+++ b/crates/ledger/src/escrow/row.rs
@@ -9,6 +9,8 @@
 pub const ESCROW: &str = "escrow";
 /// Last segment of the key of the row that all holders of an account write.
 const TOTAL: &str = "total";
+/// Last segment of the key of the [`Era`] row.
+const ERA: &str = "era";
 /// Segment of the key before the holder's name.
 const HOLDER: &str = "holder";
 
@@ -19,6 +21,45 @@
     pub out: Tokens,
 }
 
+/// Row that the first write of an account replaces after each restore of the store.
+///
+/// Every transaction checks it, so that writes of an earlier era fail that are applied late: the
+/// revisions of the other rows may have been given out again.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Era {
+    /// Number of restores of the store when the row was written.
+    pub number: u64,
+    /// Time of the first write, in milliseconds of the store's steady clock; 0 without a restore.
+    pub start_ms: u64,
+    /// [`Total::out`] as the restore has put it back.
+    pub restored_out: Tokens,
+    /// Largest [`Total::out`] that a holder has known before the restore.
+    pub lost_out: Tokens,
+    /// Tokens that holders have added to the restored total to write their shares again.
+    ///
+    /// It is negative if they had returned more than taken since the copy was made.
+    pub rewritten: i64,
+}
+
+impl Era {
+    /// Returns the tokens of lost rows that no holder has written again.
+    ///
+    /// Their holders are cut off from the store or have died, and may have used them.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use ledger::escrow::row::Era;
+    /// let era = Era { restored_out: 100, lost_out: 180, rewritten: 50, ..Era::default() };
+    /// assert_eq!(era.missing(), 30);
+    /// ```
+    #[must_use]
+    pub fn missing(&self) -> Tokens {
+        let lost = self.lost_out.saturating_sub(self.restored_out);
+        lost.saturating_add_signed(-self.rewritten)
+    }
+}
+
 /// Row with the share of one holder and the limit on its use over time.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Grant {
@@ -45,6 +86,9 @@
     pub usual: Tokens,
     /// Time of the write, in milliseconds of the store's steady clock.
     pub at_ms: u64,
+    /// Era of the store in which the row was written, `None` in rows of earlier versions.
+    #[serde(default)]
+    pub era: Option<u64>,
 }
 
 impl Grant {
@@ -134,6 +178,12 @@
     format!("{ESCROW}/{account}/{TOTAL}")
 }
 
+/// Returns the key of an account's [`Era`] row.
+#[must_use]
+pub fn era_key(account: &str) -> String {
+    format!("{ESCROW}/{account}/{ERA}")
+}
+
 /// Returns the key of a holder's [`Grant`] row.
 #[must_use]
 pub fn holder_key(account: &str, holder: &str) -> String {
--- a/crates/ledger/src/escrow/share.rs
+++ b/crates/ledger/src/escrow/share.rs
@@ -9,7 +9,7 @@
 
 use super::latency::Latency;
 use super::rate::{BURST_TIME_CONSTANT, RATE_TIME_CONSTANT, Rate, to_f64, to_tokens};
-use super::row::{self, Grant, Total};
+use super::row::{self, Era, Grant, Total};
 
 /// Age at which an active holder renews its row.
 const RENEW_INTERVAL: Duration = Duration::from_millis(900);
@@ -37,6 +37,14 @@
 /// Age above which the known rows of other holders are too old for a rejection.
 const MAX_READ_AGE: Duration = Duration::from_millis(1_500);
 
+/// Time after the first write of an era in which no holder takes tokens.
+///
+/// A holder learns of a restore with its next call to the store, at most a heartbeat later, and
+/// then writes its share again.
+const RESTORE_FENCE: Duration = Duration::from_secs(3);
+/// Time before a restore in which a holder may have taken tokens that the store has lost.
+const MAX_LOST_TIME: Duration = Duration::from_secs(10);
+
 /// Whether callers are given this instance's address.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Status {
@@ -53,6 +61,8 @@
 struct Draft {
     grant: Grant,
     total: Option<Total>,
+    /// Written only by the first write of the account in an era of the store.
+    era: Option<Era>,
 }
 
 /// Next action that a share requires.
@@ -95,12 +105,24 @@
     stored_revision: u64,
     total: Total,
     total_revision: u64,
+    era_row: Era,
+    era_row_revision: u64,
     /// Own row in the write that is in flight.
     in_flight: Option<Grant>,
     /// Common limits of own rows whose writes got no answer and may still be applied.
     unconfirmed: Option<Grant>,
     /// Whether this incarnation has written the own row.
     owns_row: bool,
+    /// Era of the store to which the known rows belong; `None` before the first read.
+    era: Option<u64>,
+    /// Tokens that were granted before a restore of the store, until they are written again.
+    lost_grant: Option<Tokens>,
+    /// [`Total::out`] as last known before a restore, until it has been written to the era row.
+    lost_out: Option<Tokens>,
+    /// Tokens that other holders may have taken and not yet written again since a restore.
+    others_lost: Tokens,
+    /// Time of the store's clock at the last step.
+    last_store_now: Duration,
     /// When the account's rows were last read; `None` if they must be read again.
     rows_read_at: Option<Duration>,
     row_written_at: Duration,
@@ -144,9 +166,16 @@
             stored_revision: 0,
             total: Total::default(),
             total_revision: 0,
+            era_row: Era::default(),
+            era_row_revision: 0,
             in_flight: None,
             unconfirmed: None,
             owns_row: false,
+            era: None,
+            lost_grant: None,
+            lost_out: None,
+            others_lost: 0,
+            last_store_now: Duration::ZERO,
             rows_read_at: None,
             row_written_at: Duration::ZERO,
             scheduled_retries: Vec::new(),
@@ -289,10 +318,62 @@
         if now.saturating_sub(self.rows_read_at?) > MAX_READ_AGE {
             return None;
         }
+        if self.is_fenced(self.last_store_now) {
+            return Some(Shortage::HeldElsewhere);
+        }
         let obtainable = self.available() + self.free() + self.others_free;
         Some(if bound > obtainable { Shortage::Exhausted } else { Shortage::HeldElsewhere })
     }
 
+    /// Notes the era of the store; a later one than before makes the known rows invalid.
+    ///
+    /// The tokens of the share can be used again once its row has been written in the new era.
+    pub fn enter_era(&mut self, era: Option<u64>) {
+        if era <= self.era {
+            return;
+        }
+        if self.era.is_some() {
+            if self.owns_row {
+                self.lost_grant.get_or_insert(self.min_granted());
+            }
+            if self.total_revision > 0 {
+                self.lost_out = self.lost_out.max(Some(self.total.out));
+            }
+            self.stored = Grant {
+                incarnation: self.stored.incarnation,
+                seq: self.stored.seq,
+                ..Grant::default()
+            };
+            self.stored_revision = 0;
+            self.total = Total::default();
+            self.total_revision = 0;
+            self.era_row = Era::default();
+            self.era_row_revision = 0;
+            self.rows_read_at = None;
+        }
+        self.era = era;
+    }
+
+    /// Returns the era of the store to which the known rows belong.
+    #[must_use]
+    pub fn era(&self) -> Option<u64> {
+        self.era
+    }
+
+    /// Returns true if tokens must not be taken yet, because holders still write their shares again.
+    fn is_fenced(&self, store_now: Duration) -> bool {
+        let start = Duration::from_millis(self.era_row.start_ms);
+        self.starts_era() || (!start.is_zero() && store_now.saturating_sub(start) < RESTORE_FENCE)
+    }
+
+    /// Returns true if the next write is the first one of the account since a restore.
+    fn starts_era(&self) -> bool {
+        if self.era_row_revision == 0 {
+            return self.lost_grant.is_some();
+        }
+        Some(self.era_row.number) < self.era
+    }
+
     /// Makes the next step read the account's rows again.
     pub fn invalidate_rows(&mut self) {
         self.rows_read_at = None;
@@ -311,6 +392,7 @@
         }
         // No row can be written without the store's time, which every answer carries.
         let Some(store_now) = store_now else { return Step::Read };
+        self.last_store_now = store_now;
         match self.draft(now, store_now) {
             Some(draft) => Step::Write(self.start_write(draft, now)),
             None => Step::Idle,
@@ -326,13 +408,21 @@
         // Other holders write the total too. After a conflict, an urgent renewal leaves it out,
         // since over a slow link the write would lose several races in a row.
         let skips_total = self.has_conflict && is_limit_near && self.free() >= self.demand;
-        let granted = if skips_total { self.stored.granted } else { self.target_granted(now) };
+        let granted = match self.lost_grant {
+            Some(lost) => lost.max(self.committed()),
+            None if skips_total => self.stored.granted,
+            None if self.is_fenced(store_now) => self.target_granted(now).min(self.stored.granted),
+            None => self.target_granted(now),
+        };
         let changes = granted != self.stored.granted;
         let out = (self.total.out + granted).saturating_sub(self.stored.granted);
         let total = changes.then_some(Total { out });
+        let must_start_era = self.starts_era() && self.demand > 0;
         // The row of an earlier start must be replaced; an empty share without a row needs none.
         let is_row_own_or_absent = self.owns_row || self.stored_revision == 0;
         if !changes
+            && !must_start_era
+            && self.lost_grant.is_none()
             && !is_limit_near
             && !self.is_renewal_due(now)
             && is_row_own_or_absent
@@ -356,8 +446,34 @@
             rate: to_tokens(rate),
             usual,
             at_ms: now_ms,
+            era: self.era,
+        };
+        let era = self.draft_era(granted, now_ms);
+        let must_write_era = self.era_row_revision == 0 || era != self.era_row;
+        Some(Draft { grant, total, era: must_write_era.then_some(era) })
+    }
+
+    /// Returns the era row after a write that changes the size of the share to `granted`.
+    fn draft_era(&self, granted: Tokens, now_ms: u64) -> Era {
+        let mut era = if self.era_row_revision == 0 || self.starts_era() {
+            Era {
+                number: self.era.unwrap_or_default(),
+                start_ms: if self.starts_era() { now_ms } else { 0 },
+                restored_out: self.total.out,
+                lost_out: self.total.out,
+                rewritten: 0,
+            }
+        } else {
+            self.era_row
         };
-        Some(Draft { grant, total })
+        era.lost_out = era.lost_out.max(self.lost_out.unwrap_or_default());
+        if self.lost_grant.is_some() {
+            era.rewritten = era
+                .rewritten
+                .saturating_add_unsigned(granted)
+                .saturating_sub_unsigned(self.stored.granted);
+        }
+        era
     }
 
     /// Returns true if the row is due for renewal and the share is in use.
@@ -380,6 +496,11 @@
             txn.check(key.clone(), self.total_revision);
             txn.put(key, total);
         }
+        let key = row::era_key(&self.account);
+        txn.check(key.clone(), self.era_row_revision);
+        if let Some(era) = &draft.era {
+            txn.put(key, era);
+        }
         self.in_flight = Some(draft.grant);
         txn
     }
@@ -394,13 +515,18 @@
                 self.stored_revision = *revision;
                 self.owns_row = true;
                 self.unconfirmed = None;
+                if written.era == self.era {
+                    self.lost_grant = None;
+                    self.lost_out = None;
+                }
                 self.row_written_at = now;
                 self.has_conflict = false;
                 self.is_active = self.reserved > 0;
-                let total = txn.writes.get(1).and_then(|write| write.value.clone());
-                if let Some(Ok(total)) = total.map(serde_json::from_value) {
-                    self.total = total;
-                    self.total_revision = *revision;
+                for write in &txn.writes {
+                    let Some(value) = &write.value else { continue };
+                    let row =
+                        Row { key: write.key.clone(), revision: *revision, value: value.clone() };
+                    self.record_shared_row(&row);
                 }
             }
             Commit::Conflict(rows) => {
@@ -441,26 +567,62 @@
     pub fn handle_rows(&mut self, rows: &[Row], now: Duration, store_now: Duration) {
         let own = row::holder_key(&self.account, &self.holder);
         self.others_free = 0;
+        self.others_lost = 0;
         self.others_tokens_per_second = 0.0;
         for row in rows {
-            if row.key == own || row.key == row::total_key(&self.account) {
+            if row.key == own || self.is_shared_row(&row.key) {
                 self.record_row(row);
             } else if let Ok(grant) = serde_json::from_value::<Grant>(row.value.clone()) {
                 self.others_free += grant.free();
+                self.others_lost += self.possibly_lost(&grant);
                 self.others_tokens_per_second += grant.decayed_rate(store_now);
                 self.others_mean_bound = self.others_mean_bound.max(to_f64(grant.usual));
             }
         }
-        if !self.owns_row && self.stored_revision > 0 && self.stored.incarnation != self.incarnation
-        {
-            self.take_over_row(store_now);
+        if self.stored_revision > 0 && self.stored.incarnation != self.incarnation {
+            if !self.owns_row {
+                self.take_over_row(store_now);
+            } else if self.is_row_of_earlier_era() {
+                self.replace_restored_row();
+            }
         }
         self.rows_read_at = Some(now);
     }
 
+    /// Returns the tokens that a holder may have taken in rows that a restore has lost.
+    ///
+    /// A holder that has not written its row again may be cut off from the store and still spend
+    /// them. They are estimated by its free tokens and its rate of spending.
+    fn possibly_lost(&self, grant: &Grant) -> Tokens {
+        let was_alive = grant.at_ms.saturating_add(millis(MAX_LOST_TIME)) >= self.era_row.start_ms;
+        if grant.era.is_none_or(|era| Some(era) >= self.era) || !was_alive {
+            return 0;
+        }
+        grant.free().max(to_tokens(to_f64(grant.rate) * MAX_LOST_TIME.as_secs_f64()))
+    }
+
+    fn is_row_of_earlier_era(&self) -> bool {
+        self.stored.era.is_some_and(|era| Some(era) < self.era)
+    }
+
+    /// Discards the row of the previous start, which a restore has put back.
+    ///
+    /// All of its tokens stay counted in `Total::out`.
+    fn replace_restored_row(&mut self) {
+        self.stored =
+            Grant { incarnation: self.incarnation, seq: self.stored.seq, ..Grant::default() };
+    }
+
     /// Starts the share with the tokens that the previous start cannot have used.
     fn take_over_row(&mut self, store_now: Duration) {
-        let unused = self.stored.granted - self.stored.spend_limit_at(millis(store_now));
+        // The newest row of the previous start may be lost, so the spend limit of this one does
+        // not bound its use.
+        let limit = if self.is_row_of_earlier_era() {
+            self.stored.granted
+        } else {
+            self.stored.spend_limit_at(millis(store_now))
+        };
+        let unused = self.stored.granted - limit;
         // The rest of the old grant may have been used and stays counted in `Total::out`.
         self.stored = Grant {
             incarnation: 0,
@@ -473,16 +635,34 @@
             rate: 0,
             usual: 0,
             at_ms: 0,
+            era: None,
         };
     }
 
-    /// Records the total or the own row as it is in the store.
-    fn record_row(&mut self, row: &Row) {
+    /// Returns true for the rows that all holders of the account write.
+    fn is_shared_row(&self, key: &str) -> bool {
+        key == row::total_key(&self.account) || key == row::era_key(&self.account)
+    }
+
+    /// Records the total or the era as it is in the store; ignores other rows.
+    fn record_shared_row(&mut self, row: &Row) {
         if row.key == row::total_key(&self.account) {
             if let Ok(total) = serde_json::from_value(row.value.clone()) {
                 self.total = total;
                 self.total_revision = row.revision;
             }
+        } else if row.key == row::era_key(&self.account)
+            && let Ok(era) = serde_json::from_value(row.value.clone())
+        {
+            self.era_row = era;
+            self.era_row_revision = row.revision;
+        }
+    }
+
+    /// Records a row that all holders write, or the own row, as it is in the store.
+    fn record_row(&mut self, row: &Row) {
+        if self.is_shared_row(&row.key) {
+            self.record_shared_row(row);
             return;
         }
         let Ok(grant) = serde_json::from_value::<Grant>(row.value.clone()) else { return };
@@ -496,6 +676,8 @@
     fn record_missing_row(&mut self, key: &str) {
         if key == row::total_key(&self.account) {
             self.total_revision = 0;
+        } else if key == row::era_key(&self.account) {
+            self.era_row_revision = 0;
         } else {
             self.stored_revision = 0;
         }
@@ -521,6 +703,7 @@
         let is_in_use = self.free() > 0 || self.is_active;
         let returns_tokens = self.owns_row && self.target_granted(now) < self.stored.granted;
         returns_tokens
+            || self.lost_grant.is_some()
             || self.is_renewal_due(now)
             || self.rows_read_at.is_none()
             || (is_in_use && self.is_read_due(now))
@@ -529,8 +712,11 @@
     /// Returns true if the account's rows are due for another read.
     #[must_use]
     pub fn is_read_due(&self, now: Duration) -> bool {
-        let interval =
-            if self.target_free(now) == 0 { READ_INTERVAL_SCARCE } else { READ_INTERVAL };
+        let interval = if self.target_free(now) == 0 || self.others_lost > 0 {
+            READ_INTERVAL_SCARCE
+        } else {
+            READ_INTERVAL
+        };
         self.rows_read_at.is_none_or(|at| now.saturating_sub(at) >= interval)
     }
 }
--- a/crates/ledger/src/escrow/share/size.rs
+++ b/crates/ledger/src/escrow/share/size.rs
@@ -38,8 +38,13 @@
 
 impl Share {
     /// Returns the tokens that are granted to no holder, as last read.
+    ///
+    /// Tokens that a restore of the store may have made forget are left out.
     pub(super) fn available(&self) -> Tokens {
-        self.budget.unwrap_or_default().saturating_sub(self.total.out)
+        self.budget
+            .unwrap_or_default()
+            .saturating_sub(self.total.out)
+            .saturating_sub(self.era_row.missing().max(self.others_lost))
     }
 
     /// Returns the unused tokens of the whole budget, as last read.
--- a/crates/ledger/tests/escrow.rs
+++ b/crates/ledger/tests/escrow.rs
@@ -13,8 +13,9 @@
 use ledger::escrow::{Escrow, Fault, Share};
 use proptest::prelude::*;
 use slog::{Discard, Logger, o};
+use store::Table;
 use store::Txn;
-use store::memory::Platform;
+use store::memory::{Backup, Platform};
 
 const ACCOUNT: &str = "shop";
 const BUDGET: Tokens = 10_000;
@@ -38,6 +39,8 @@
     Restart(usize),
     ApplyDelayed,
     Wait(u64),
+    Copy,
+    Restore,
 }
 
 struct Node {
@@ -51,6 +54,7 @@
     platform: Platform,
     nodes: Vec<Node>,
     delayed: Vec<Txn>,
+    backup: Option<Backup>,
     now: Duration,
     start_count: u64,
     spent: Tokens,
@@ -62,6 +66,7 @@
             platform: Platform::default(),
             nodes: Vec::new(),
             delayed: Vec::new(),
+            backup: None,
             now: Duration::from_secs(1),
             start_count: 0,
             spent: 0,
@@ -84,6 +89,14 @@
     fn apply(&mut self, event: &Event) {
         match *event {
             Event::Wait(ms) => self.now += Duration::from_millis(ms),
+            Event::Copy => self.backup = Some(self.platform.backup()),
+            Event::Restore => {
+                if let Some(backup) = self.backup.take() {
+                    self.platform.restore(&backup);
+                    // All live instances notice the restore before any takes more tokens.
+                    (0..self.nodes.len()).for_each(|index| self.write_again(index));
+                }
+            }
             Event::ApplyDelayed => {
                 if let Some(txn) = self.delayed.pop() {
                     self.platform.apply(&txn);
@@ -119,12 +132,20 @@
         }
     }
 
+    fn write_again(&mut self, index: usize) {
+        let demand = 0;
+        self.nodes[index].share.set_demand(demand);
+        (0..4).for_each(|_| self.step(index, Delivery::Answered));
+    }
+
     fn step(&mut self, index: usize, delivery: Delivery) {
         let now = self.now;
+        let era = self.platform.era();
         let node = &mut self.nodes[index];
         if !node.is_alive {
             return;
         }
+        node.share.enter_era(era);
         match (node.share.step(now, Some(now)), delivery) {
             (Step::Idle, _) | (Step::Read, Delivery::AnswerLost | Delivery::WriteLost) => {}
             (Step::Read, Delivery::Answered | Delivery::Delayed) => {
@@ -185,8 +206,38 @@
     }
 }
 
+/// Events without the death of an instance, since what it took after the copy is then unknown.
+fn event_with_restores(count: usize) -> impl Strategy<Value = Event> {
+    prop_oneof![
+        40 => event(count).prop_map(|event| match event {
+            Event::Kill(_) | Event::Restart(_) => Event::Wait(100),
+            event => event,
+        }),
+        2 => Just(Event::Copy),
+        1 => Just(Event::Restore),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, ..ProptestConfig::default() })]
+
+    #[test]
+    fn spending_never_exceeds_the_budget_after_restores_of_the_store(
+        events in proptest::collection::vec(event_with_restores(2), 100..500),
+    ) {
+        let mut world = World::open(2);
+        // The account is in use before the first copy.
+        (0..2).for_each(|index| world.write_again(index));
+        for event in &events {
+            world.apply(event);
+            prop_assert!(world.committed() <= BUDGET, "{} after {event:?}", world.committed());
+        }
+    }
+}
+
 fn run_steps(share: &mut Share, platform: &Platform, now: Duration) {
     for _ in 0..4 {
+        share.enter_era(platform.era());
         match share.step(now, Some(now)) {
             Step::Idle => return,
             Step::Read => share.handle_rows(
@@ -270,6 +321,73 @@
     );
 }
 
+/// Guards against tokens that are granted twice because the total forgot the first grant.
+#[test]
+fn tokens_are_not_taken_until_the_holders_have_written_their_shares_again() {
+    let platform = Platform::default();
+    let now = Duration::from_secs(20);
+    let mut shares: Vec<Share> = (0..2_u64).map(|index| open_share(index, index + 1)).collect();
+    run_steps(&mut shares[0], &platform, now);
+    let backup = platform.backup();
+    run_steps(&mut shares[1], &platform, now);
+    let (first, second) = (shares[0].free(), shares[1].free());
+    assert!(second > 0);
+    platform.restore(&backup);
+    for wait_ms in [0, 1_000, 2_900] {
+        shares[0].set_demand(first + 1_000);
+        shares[0].invalidate_rows();
+        run_steps(&mut shares[0], &platform, now + Duration::from_millis(wait_ms));
+        assert_eq!(shares[0].free(), first, "after {wait_ms} ms");
+    }
+    run_steps(&mut shares[1], &platform, now + Duration::from_secs(3));
+    assert_eq!(shares[1].free(), second, "the share of the lost row is kept");
+    shares[0].invalidate_rows();
+    run_steps(&mut shares[0], &platform, now + Duration::from_secs(4));
+    assert!(shares[0].free() > first, "tokens can be taken again");
+    assert!(shares[0].free() + shares[1].free() <= BUDGET);
+}
+
+/// Guards against tokens that a successor reclaims although its predecessor may have used them.
+#[test]
+fn a_successor_reclaims_nothing_from_a_row_older_than_a_restore() {
+    let platform = Platform::default();
+    let now = Duration::from_secs(20);
+    let mut first = open_share(0, 1);
+    run_steps(&mut first, &platform, now);
+    let granted = first.free();
+    platform.restore(&platform.backup());
+    drop(first);
+    let mut second = open_share(0, 2);
+    second.set_demand(100);
+    run_steps(&mut second, &platform, now);
+    run_steps(&mut second, &platform, now + Duration::from_secs(4));
+    assert!(second.free() >= 100);
+    assert_eq!(second.handed_out(), granted + second.free());
+}
+
+/// Guards against a holder that takes the restored row of its predecessor for a successor's.
+#[test]
+fn a_holder_keeps_its_share_when_a_restore_puts_back_the_row_of_its_predecessor() {
+    let platform = Platform::default();
+    let now = Duration::from_secs(20);
+    run_steps(&mut open_share(0, 1), &platform, now);
+    let backup = platform.backup();
+    let mut second = open_share(0, 2);
+    run_steps(&mut second, &platform, now + Duration::from_secs(1));
+    let granted = second.free();
+    platform.restore(&backup);
+    run_steps(&mut second, &platform, now + Duration::from_secs(2));
+    assert!(!second.is_replaced());
+    assert_eq!(second.free(), granted);
+    assert!(second.reserve(1, now, Some(now)));
+}
+
+fn open_share(index: u64, incarnation: u64) -> Share {
+    let mut share = Share::open(&ACCOUNT.into(), &format!("n{index}").into(), incarnation);
+    share.configure(Some(BUDGET), 4, true);
+    share
+}
+
 #[test]
 fn idle_instances_return_tokens_of_a_scarce_budget() {
     let platform = Platform::default();
--- a/crates/ledger/tests/escrow_loss.rs
+++ b/crates/ledger/tests/escrow_loss.rs
@@ -4,7 +4,7 @@
 //! this strands may be at most 3 percent of a budget, to which callers have no claim.
 
 use base::prelude::*;
-use ledger::escrow::row::{key_prefix, total_key};
+use ledger::escrow::row::{era_key, key_prefix, total_key};
 use ledger::escrow::share::Step;
 use ledger::escrow::{Grant, Share, Total};
 use store::memory::Platform;
@@ -161,7 +161,8 @@
         let rows = self.platform.range(&key_prefix(ACCOUNT), "", MAX_SCAN_ROWS);
         let total = rows.iter().find(|row| row.key == total_key(ACCOUNT)).expect("a total row");
         let total: Total = serde_json::from_value(total.value.clone()).expect("a total");
-        let held = rows.iter().filter(|row| row.key != total_key(ACCOUNT));
+        let shared = [total_key(ACCOUNT), era_key(ACCOUNT)];
+        let held = rows.iter().filter(|row| !shared.contains(&row.key));
         let free: Tokens = held
             .map(|row| serde_json::from_value::<Grant>(row.value.clone()).expect("a grant").free())
             .sum();
