--- a/crates/front/src/fleet.rs
+++ b/crates/front/src/fleet.rs
@@ -105,7 +105,9 @@
                 && old.service == entry.service
                 && old.slots == entry.slots
             {
-                return known.leaving.replace(entry.leaving) != entry.leaving;
+                // An upstream that leaves does not come back in the same incarnation.
+                let is_leaving = entry.leaving || (entry.born > 0 && known.leaving.get());
+                return known.leaving.replace(is_leaving) != is_leaving;
             }
             known.leaving.set(true);
         }
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -42,6 +42,8 @@
     pub id: UpstreamId,
     /// Start of the upstream in milliseconds since the Unix epoch; 0 if unknown.
     pub born: Incarnation,
+    /// Number of the statement that listed it, which grows within an incarnation; 0 if unknown.
+    pub sequence: u64,
     /// Service to which the upstream belongs.
     pub service: ServiceId,
     /// Address at which the upstream accepts connections.
