--- a/crates/front/src/codec.rs
+++ b/crates/front/src/codec.rs
@@ -30,7 +30,7 @@
 }
 
 /// Statements in the head of an upstream's answer.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Metadata {
     /// Whether the answer belongs to the request that was sent.
     pub matches_request: bool,
@@ -42,6 +42,15 @@
     pub load: Option<(u32, u32, u32)>,
     /// Time for which the upstream keeps the idle connection open, if stated.
     pub keep_alive: Option<Duration>,
+    /// What the upstream states about itself, whichever request the answer belongs to.
+    pub statement: Statement,
+}
+
+/// Statement of an upstream about the requests that it accepts.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Statement {
+    /// Whether the upstream leaves and must get no new requests.
+    pub is_leaving: bool,
 }
 
 /// Decodes and encodes the header fields of a deployment.
--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -14,7 +14,7 @@
 use thiserror::Error;
 use tokio::time::timeout;
 
-use crate::codec::{Metadata, Outbound};
+use crate::codec::{Metadata, Outbound, Statement};
 use crate::fleet::Selection;
 use crate::upstream::{Flight, Upstream};
 use crate::{Front, Params, Refusal};
@@ -315,7 +315,7 @@
         } else {
             self.time_left()
         };
-        let result = timeout(attempt_timeout, self.exchange(&mut conn, &message)).await;
+        let result = timeout(attempt_timeout, self.exchange(upstream, &mut conn, &message)).await;
         let (head, metadata, is_reusable) = match result {
             Ok(Ok(exchanged)) => exchanged,
             Ok(Err(error)) => {
@@ -356,6 +356,7 @@
     /// Sends the request and reads the head of its answer, skipping answers to earlier ones.
     async fn exchange(
         &self,
+        upstream: &Upstream,
         conn: &mut Conn,
         message: &[u8],
     ) -> Result<(Response, Metadata, bool), h1::Error> {
@@ -367,6 +368,9 @@
         let mut is_first = true;
         for _ in 0..MAX_STALE_ANSWERS {
             let metadata = self.front.codec.decode_response(&head, &self.params);
+            if head.status != MISDIRECTED {
+                self.apply_statement(upstream, metadata.statement);
+            }
             if metadata.matches_request {
                 let is_reusable = is_whole && is_first && head.keep_alive;
                 return Ok((head, metadata, is_reusable));
@@ -381,6 +385,14 @@
         Err(h1::Error::Malformed("the answer belongs to another request"))
     }
 
+    /// Applies what an answer states about its upstream.
+    fn apply_statement(&self, upstream: &Upstream, statement: Statement) {
+        if statement.is_leaving && upstream.record_leaving() {
+            info!(self.front.log, "upstream leaves"; "upstream" => upstream.entry.id.as_ref(),
+                "request" => self.params.request_id.as_ref());
+        }
+    }
+
     /// Updates the health of the upstream after a failure, and logs it.
     fn record_failure(&self, selection: &Selection, failure: &Failure) {
         let now = self.front.clock.now();
--- a/crates/front/src/fleet.rs
+++ b/crates/front/src/fleet.rs
@@ -106,7 +106,9 @@
                 && old.slots == entry.slots
             {
                 // An upstream that leaves does not come back in the same incarnation.
-                let is_leaving = entry.leaving || (entry.born > 0 && known.leaving.get());
+                let is_leaving = entry.leaving
+                    || known.has_stated_leaving.get()
+                    || (entry.born > 0 && known.leaving.get());
                 return known.leaving.replace(is_leaving) != is_leaving;
             }
             known.leaving.set(true);
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -76,6 +76,8 @@
     pub entry: Entry,
     /// Whether the upstream must get no new requests; also set once it is not listed.
     pub leaving: Cell<bool>,
+    /// Whether an answer of the upstream has stated that it leaves.
+    pub has_stated_leaving: Cell<bool>,
     flights: RefCell<SlotMap<FlightKey, InFlight>>,
     /// Requests of other instances there, and the time of the report.
     others_load: Cell<(f64, Duration)>,
@@ -97,6 +99,7 @@
     pub fn open(entry: Entry, slowness: f64) -> Self {
         Self {
             leaving: Cell::new(entry.leaving),
+            has_stated_leaving: Cell::new(false),
             entry,
             flights: RefCell::default(),
             others_load: Cell::default(),
@@ -151,6 +154,15 @@
         }
     }
 
+    /// Stops new requests, because an answer has stated that the upstream leaves.
+    ///
+    /// Returns false if one has done so before.
+    pub fn record_leaving(&self) -> bool {
+        self.leaving.set(true);
+        self.idle.borrow_mut().clear();
+        !self.has_stated_leaving.replace(true)
+    }
+
     /// Records a load report that an answer carried.
     pub fn record_load(&self, running: u32, waiting: u32, now: Duration) {
         let own = u32::try_from(self.in_flight()).unwrap_or(u32::MAX);
