--- a/crates/front/src/codec.rs
+++ b/crates/front/src/codec.rs
@@ -51,6 +51,8 @@
 pub struct Statement {
     /// Whether the upstream leaves and must get no new requests.
     pub is_leaving: bool,
+    /// Time for which the upstream wants no requests of this instance, if it refused one.
+    pub pause: Option<Duration>,
 }
 
 /// Decodes and encodes the header fields of a deployment.
--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -391,6 +391,12 @@
             info!(self.front.log, "upstream leaves"; "upstream" => upstream.entry.id.as_ref(),
                 "request" => self.params.request_id.as_ref());
         }
+        if let Some(pause) = statement.pause {
+            upstream.record_pause(pause, self.front.clock.now());
+            info!(self.front.log, "upstream asks for a pause";
+                "upstream" => upstream.entry.id.as_ref(), "pause_ms" => millis(pause),
+                "request" => self.params.request_id.as_ref());
+        }
     }
 
     /// Updates the health of the upstream after a failure, and logs it.
@@ -466,18 +472,24 @@
         }
     }
 
+    /// Returns the time after which an upstream may have room for the request.
+    fn unavailable_retry(&self) -> Duration {
+        let pause = self.front.fleet.pause_left(&self.service, self.front.clock.now());
+        pause.unwrap_or(UNAVAILABLE_RETRY)
+    }
+
     fn unavailable_refusal(&self) -> Refusal {
         if self.may_have_run {
             return Refusal::unknown(502, "upstream_failed");
         }
-        Refusal::not_run(503, "no_upstream").retry_after(UNAVAILABLE_RETRY)
+        Refusal::not_run(503, "no_upstream").retry_after(self.unavailable_retry())
     }
 
     fn final_refusal(&self, failure: &Failure) -> Refusal {
         match failure {
             _ if self.may_have_run && self.time_left().is_zero() => self.deadline_refusal(),
             _ if self.may_have_run => Refusal::unknown(502, "upstream_failed"),
-            _ => Refusal::not_run(503, "upstream_full").retry_after(UNAVAILABLE_RETRY),
+            _ => Refusal::not_run(503, "upstream_full").retry_after(self.unavailable_retry()),
         }
     }
 }
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -76,6 +76,8 @@
     pub entry: Entry,
     /// Whether the upstream must get no new requests; also set once it is not listed.
     pub leaving: Cell<bool>,
+    /// End of the pause for which the upstream has asked; zero without one.
+    paused_until: Cell<Duration>,
     /// Whether an answer of the upstream has stated that it leaves.
     pub has_stated_leaving: Cell<bool>,
     flights: RefCell<SlotMap<FlightKey, InFlight>>,
@@ -99,6 +101,7 @@
     pub fn open(entry: Entry, slowness: f64) -> Self {
         Self {
             leaving: Cell::new(entry.leaving),
+            paused_until: Cell::default(),
             has_stated_leaving: Cell::new(false),
             entry,
             flights: RefCell::default(),
@@ -163,6 +166,17 @@
         !self.has_stated_leaving.replace(true)
     }
 
+    /// Stops new requests for a time, because the upstream has asked for it in a refusal.
+    pub fn record_pause(&self, pause: Duration, now: Duration) {
+        self.paused_until.set(self.paused_until.get().max(now + pause));
+    }
+
+    /// Returns the time until the upstream accepts requests of this instance; zero if it does now.
+    #[must_use]
+    pub fn pause_left(&self, now: Duration) -> Duration {
+        self.paused_until.get().saturating_sub(now)
+    }
+
     /// Records a load report that an answer carried.
     pub fn record_load(&self, running: u32, waiting: u32, now: Duration) {
         let own = u32::try_from(self.in_flight()).unwrap_or(u32::MAX);
