--- a/crates/front/src/roster.rs
+++ b/crates/front/src/roster.rs
@@ -91,6 +91,9 @@
     /// Time during which the rows could be read; outages of the store are left out.
     observed_time: Cell<Duration>,
     last_read_at: Cell<Option<Duration>>,
+    era: Cell<Option<u64>>,
+    /// Whether the store was restored from a copy since the last update.
+    was_restored: Cell<bool>,
     heartbeats: Cell<u64>,
     requests_since_heartbeat: Cell<u32>,
     requests_per_second: Cell<f64>,
@@ -111,6 +114,8 @@
             members: RefCell::default(),
             observed_time: Cell::default(),
             last_read_at: Cell::new(None),
+            era: Cell::new(None),
+            was_restored: Cell::new(false),
             heartbeats: Cell::new(0),
             requests_since_heartbeat: Cell::new(0),
             requests_per_second: Cell::new(0.0),
@@ -213,6 +218,12 @@
         self.observed_time.get().saturating_sub(member.changed_at) < STALE_AFTER
     }
 
+    /// Notes the era of the store from which the rows of the next update were read.
+    pub fn enter_era(&self, era: Option<u64>) {
+        let last = self.era.replace(era);
+        self.was_restored.set(self.was_restored.get() || last.is_some_and(|_| last != era));
+    }
+
     /// Replaces the known rows by `rows`, which were read at `now`.
     pub fn update(&self, rows: &[Row], now: Duration) {
         let elapsed = self.last_read_at.replace(Some(now)).map(|at| now.saturating_sub(at));
@@ -220,16 +231,21 @@
         let step = elapsed.unwrap_or_default().min(HEARTBEAT_INTERVAL * 2);
         let observed_time = self.observed_time.get() + step;
         self.observed_time.set(observed_time);
+        let was_restored = self.was_restored.take();
         let mut members = self.members.borrow_mut();
         for row in rows {
             let Some(name) = row.key.strip_prefix(MEMBER) else { continue };
             // A malformed row is skipped; a record read before from its key goes stale.
             let Ok(record) = serde_json::from_value::<Record>(row.value.clone()) else { continue };
-            let known = members.get(name).filter(|known| known.revision == row.revision);
+            // A restored row is older than the known one, and shows no sign of life.
+            let known =
+                members.get(name).filter(|known| was_restored || known.revision == row.revision);
             let changed_at = known.map_or(observed_time, |known| known.changed_at);
             members.insert(name.to_owned(), Member { record, revision: row.revision, changed_at });
         }
-        members.retain(|name, _| rows.iter().any(|row| row.key[MEMBER.len()..] == **name));
+        // Rows that a restore has lost are written again within one heartbeat.
+        let is_read = |name: &str| rows.iter().any(|row| row.key[MEMBER.len()..] == *name);
+        members.retain(|name, _| was_restored || is_read(name));
         drop(members);
         *self.listed.borrow_mut() = self.select_listed();
     }
@@ -267,6 +283,7 @@
         txn.put(format!("{MEMBER}{}", self.identity.instance), &record);
         table.commit(txn).await?;
         let rows = table.scan(MEMBER.to_owned(), String::new(), MAX_ROWS).await?;
+        self.enter_era(table.era());
         self.update(&rows, clock.now());
         Ok(())
     }
--- a/crates/front/tests/roster.rs
+++ b/crates/front/tests/roster.rs
@@ -114,3 +114,27 @@
     roster.update(&all, Duration::from_secs(1));
     assert!(!roster.addresses().contains(&"b1:1".into()));
 }
+
+/// Guards against dead instances that a restore of the store makes seem alive, and against live
+/// ones that disappear because their rows are younger than the copy.
+#[test]
+fn a_restore_of_the_store_revives_and_hides_no_instance() {
+    let roster = roster();
+    let at = Duration::from_secs;
+    roster.enter_era(Some(1));
+    for step in 0..4 {
+        let beat = 10 + step;
+        let samples = [
+            ("a1", "a", beat, 100.0, 5.0, false),
+            ("dead", "b", 10, 100.0, 5.0, false),
+            ("young", "c", beat, 100.0, 5.0, false),
+        ];
+        roster.update(&rows(&samples), at(2 * step));
+    }
+    roster.enter_era(Some(2));
+    let copy = [("a1", "a", 9, 100.0, 5.0, false), ("dead", "b", 8, 100.0, 5.0, false)];
+    roster.update(&rows(&copy), at(8));
+    let addresses = roster.addresses();
+    assert!(addresses.contains(&"young:1".to_owned()), "{addresses:?}");
+    assert!(!addresses.contains(&"dead:1".to_owned()), "{addresses:?}");
+}
