--- a/crates/front/src/codec.rs
+++ b/crates/front/src/codec.rs
@@ -53,6 +53,8 @@
     pub is_leaving: bool,
     /// Time for which the upstream wants no requests of this instance, if it refused one.
     pub pause: Option<Duration>,
+    /// Requests per second that the upstream accepts from all instances together.
+    pub limit_per_s: Option<f64>,
 }
 
 /// Decodes and encodes the header fields of a deployment.
--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -177,6 +177,7 @@
             let selection =
                 self.front.fleet.select(&self.service, &self.params, &self.tried_upstreams, now);
             let Some(selection) = selection else { return Err(self.unavailable_refusal()) };
+            selection.upstream.record_request(|| self.front.roster.limit_share(), now);
             if self.sent_count == 0 && failed_connects == 0 {
                 self.record_request(now);
             }
@@ -369,7 +370,7 @@
         for _ in 0..MAX_STALE_ANSWERS {
             let metadata = self.front.codec.decode_response(&head, &self.params);
             if head.status != MISDIRECTED {
-                self.apply_statement(upstream, metadata.statement);
+                self.apply_statement(upstream, &metadata);
             }
             if metadata.matches_request {
                 let is_reusable = is_whole && is_first && head.keep_alive;
@@ -386,13 +387,24 @@
     }
 
     /// Applies what an answer states about its upstream.
-    fn apply_statement(&self, upstream: &Upstream, statement: Statement) {
-        if statement.is_leaving && upstream.record_leaving() {
+    fn apply_statement(&self, upstream: &Upstream, metadata: &Metadata) {
+        let Statement { is_leaving, pause, limit_per_s } = metadata.statement;
+        let now = self.front.clock.now();
+        let share = limit_per_s.map_or(0.0, |_| self.front.roster.limit_share());
+        // A refusal need not repeat the limit, so it does not lift one.
+        if (limit_per_s.is_some() || !metadata.is_not_run)
+            && upstream.record_limit(limit_per_s, share, now)
+        {
+            info!(self.front.log, "limit of an upstream changed";
+                "upstream" => upstream.entry.id.as_ref(), "limit_per_s" => limit_per_s,
+                "share" => share, "request" => self.params.request_id.as_ref());
+        }
+        if is_leaving && upstream.record_leaving() {
             info!(self.front.log, "upstream leaves"; "upstream" => upstream.entry.id.as_ref(),
                 "request" => self.params.request_id.as_ref());
         }
-        if let Some(pause) = statement.pause {
-            upstream.record_pause(pause, self.front.clock.now());
+        if let Some(pause) = pause {
+            upstream.record_pause(pause, now);
             info!(self.front.log, "upstream asks for a pause";
                 "upstream" => upstream.entry.id.as_ref(), "pause_ms" => millis(pause),
                 "request" => self.params.request_id.as_ref());
@@ -474,8 +486,8 @@
 
     /// Returns the time after which an upstream may have room for the request.
     fn unavailable_retry(&self) -> Duration {
-        let pause = self.front.fleet.pause_left(&self.service, self.front.clock.now());
-        pause.unwrap_or(UNAVAILABLE_RETRY)
+        let wait = self.front.fleet.wait(&self.service, self.front.clock.now());
+        wait.unwrap_or(UNAVAILABLE_RETRY)
     }
 
     fn unavailable_refusal(&self) -> Refusal {
--- a/crates/front/src/fleet.rs
+++ b/crates/front/src/fleet.rs
@@ -135,14 +135,14 @@
         *self.services.borrow_mut() = by_service;
     }
 
-    /// Returns the time until an upstream of a service accepts requests again.
+    /// Returns the time until an upstream of a service accepts a request again.
     ///
-    /// `None` if one accepts them now, or if none will.
+    /// `None` if one accepts it now, or if none will.
     #[must_use]
-    pub fn pause_left(&self, service: &str, now: Duration) -> Option<Duration> {
+    pub fn wait(&self, service: &str, now: Duration) -> Option<Duration> {
         let services = self.services.borrow();
         let staying = services.get(service)?.iter().filter(|upstream| !upstream.leaving.get());
-        staying.map(|upstream| upstream.pause_left(now)).min().filter(|left| !left.is_zero())
+        staying.map(|upstream| upstream.wait(now)).min().filter(|wait| !wait.is_zero())
     }
 
     /// Selects an upstream of a service, except for those in `tried`.
@@ -164,7 +164,7 @@
             .iter()
             .filter(|upstream| !upstream.leaving.get() && !tried.contains(&upstream.entry.id))
             .filter(|upstream| upstream.in_flight() < max_in_flight)
-            .filter(|upstream| upstream.pause_left(now).is_zero())
+            .filter(|upstream| upstream.wait(now).is_zero())
             .collect();
         let available: Vec<&Rc<Upstream>> =
             eligible.iter().copied().filter(|upstream| upstream.is_available(now)).collect();
--- a/crates/front/src/roster.rs
+++ b/crates/front/src/roster.rs
@@ -24,6 +24,10 @@
 
 /// Prefix of the keys of the rows; the name of the instance follows it.
 const MEMBER: &str = "member/";
+/// Part of a limit that an upstream states, for all listed instances together.
+const LISTED_FRACTION: f64 = 0.7;
+/// Part of such a limit for all other instances together; callers with old addresses use them.
+const UNLISTED_FRACTION: f64 = 0.2;
 /// Interval at which an instance writes its row and reads all rows.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(2);
 /// Age of an unchanged row at which its instance counts as dead.
@@ -168,6 +172,20 @@
         if self.is_listed() { self.listed_count().max(1) } else { alive.max(1) }
     }
 
+    /// Returns the part of a limit for all instances that this one may use, 0 to 1.
+    #[must_use]
+    pub fn limit_share(&self) -> f64 {
+        let members = self.members.borrow();
+        let alive = members.values().filter(|member| self.is_alive(member)).count() as u64;
+        let listed = self.listed_count();
+        let to_f64 = |count: u64| f64::from(u32::try_from(count.max(1)).unwrap_or(u32::MAX));
+        if self.is_listed() {
+            LISTED_FRACTION / to_f64(listed)
+        } else {
+            UNLISTED_FRACTION / to_f64(alive.saturating_sub(listed))
+        }
+    }
+
     /// Returns the part of connections to close after an answer, 0 to 1.
     ///
     /// Callers reuse an open connection before they open another, so that all requests of a large
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -9,6 +9,7 @@
 use h1::Conn;
 use route::placement::{Average, Candidate};
 use route::prefix::Hash;
+use route::throttle::Throttle;
 use slotmap::{SlotMap, new_key_type};
 
 use crate::params::{Params, Part};
@@ -78,6 +79,7 @@
     pub leaving: Cell<bool>,
     /// End of the pause for which the upstream has asked; zero without one.
     paused_until: Cell<Duration>,
+    throttle: Cell<Throttle>,
     /// Whether an answer of the upstream has stated that it leaves.
     pub has_stated_leaving: Cell<bool>,
     flights: RefCell<SlotMap<FlightKey, InFlight>>,
@@ -102,6 +104,7 @@
         Self {
             leaving: Cell::new(entry.leaving),
             paused_until: Cell::default(),
+            throttle: Cell::default(),
             has_stated_leaving: Cell::new(false),
             entry,
             flights: RefCell::default(),
@@ -171,10 +174,31 @@
         self.paused_until.set(self.paused_until.get().max(now + pause));
     }
 
-    /// Returns the time until the upstream accepts requests of this instance; zero if it does now.
+    /// Applies the limit that an answer states for all instances; `None` if it states none.
+    ///
+    /// `share` is the part of it for this instance. Returns true if the limit has changed.
+    pub fn record_limit(&self, limit_per_s: Option<f64>, share: f64, now: Duration) -> bool {
+        let mut throttle = self.throttle.get();
+        let has_changed = throttle.observe(limit_per_s, share, rand::random(), now);
+        self.throttle.set(throttle);
+        has_changed
+    }
+
+    /// Counts a request that is sent.
+    ///
+    /// `share` returns the part of a limit for this instance; it is called only under a limit.
+    pub fn record_request(&self, share: impl FnOnce() -> f64, now: Duration) {
+        let mut throttle = self.throttle.get();
+        if throttle.has_limit() {
+            throttle.record_request(share(), now);
+            self.throttle.set(throttle);
+        }
+    }
+
+    /// Returns the time until the upstream accepts a request of this instance; zero if it does now.
     #[must_use]
-    pub fn pause_left(&self, now: Duration) -> Duration {
-        self.paused_until.get().saturating_sub(now)
+    pub fn wait(&self, now: Duration) -> Duration {
+        self.paused_until.get().saturating_sub(now).max(self.throttle.get().wait(now))
     }
 
     /// Records a load report that an answer carried.
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! There are two ways to choose: [`fleet`] applies a policy of [`balancer`] to polled reports, and
 //! [`placement`] compares expected times. [`poison`] rejects requests that crash upstreams, and
-//! [`retry`] limits retries.
+//! [`retry`] limits retries, and [`throttle`] the requests to an upstream that states a limit.
 
 pub mod balancer;
 pub mod cache;
@@ -16,6 +16,7 @@
 pub mod prefix;
 pub mod report;
 pub mod retry;
+pub mod throttle;
 pub mod ticket;
 pub mod upstream;
 
