--- a/crates/ledger/src/escrow/driver.rs
+++ b/crates/ledger/src/escrow/driver.rs
@@ -327,7 +327,7 @@
             self.admit_waiters(entry);
             let Context { clock, table, .. } = &self.inner.context;
             let (now, store_now) = (clock.now(), table.now());
-            entry.share.borrow_mut().enter_era(table.era());
+            self.enter_era(entry);
             let step = entry.share.borrow_mut().step(now, store_now);
             let result = match step {
                 Step::Read => self.read_rows(entry).await,
@@ -345,8 +345,6 @@
                 Step::Idle => return,
             };
             if matches!(result, Err(store::Error::Restored)) {
-                warn!(self.inner.context.log, "share written again after a restore of the store";
-                    "account" => %entry.account);
                 continue;
             }
             if let Err(error) = result {
@@ -359,6 +357,19 @@
         entry.wake.notify_one();
     }
 
+    /// Passes the era of the store to a share, which is written again if the era has changed.
+    fn enter_era(&self, entry: &Entry) {
+        let Context { table, log, .. } = &self.inner.context;
+        let mut share = entry.share.borrow_mut();
+        let era = table.era();
+        if share.era().is_some() && share.era() < era {
+            warn!(log, "share written again after a restore of the store";
+                "account" => %entry.account, "era" => era, "free" => share.free(),
+                "committed" => share.committed(), "out" => share.handed_out());
+        }
+        share.enter_era(era);
+    }
+
     fn note_outage(&self, error: &store::Error) {
         let Context { clock, log, .. } = &self.inner.context;
         if self.inner.store_failed_at.replace(Some(clock.now())).is_none() {
@@ -379,8 +390,8 @@
         let now = clock.now();
         let store_now =
             table.now().ok_or_else(|| store::Error::Malformed("no store time".into()))?;
+        self.enter_era(entry);
         let mut share = entry.share.borrow_mut();
-        share.enter_era(table.era());
         share.handle_rows(&rows, now, store_now);
         debug!(log, "share read"; "account" => %entry.account, "free" => share.free());
         Ok(())
