Add a failing test of instances that are off and still named in answers

Callers received the address of an instance for 6 s and more after it went off (DRAIN). The test runs the heartbeats of 6, 70 and 360 instances on one table in simulated time, with troubles of the store and of other instances.

--- /dev/null
+++ b/crates/front/tests/roster_failures.rs
@@ -0,0 +1,196 @@
+//! Instances that fail while others are asked for addresses, over a table with troubles.
+//!
+//! The tests run the heartbeats of all instances in simulated time.
+
+#[path = "fleet/mod.rs"]
+mod fleet;
+
+use std::time::Duration;
+
+use fleet::{Fleet, Path};
+use test_case::test_case;
+
+/// Longest time for which callers may receive the address of an instance that is off.
+const MAX_DEPARTURE: Duration = Duration::from_secs(6);
+
+/// Time in which all instances come to know each other.
+const WARM_UP: Duration = Duration::from_secs(8);
+/// Number of times that the addresses are read after an instance went off, each 100 ms.
+const MAX_STEPS: u32 = 140;
+
+/// Trouble of the store or of the other instances while one instance goes off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Trouble {
+    Nothing,
+    /// The store answers after 300 ms.
+    Slow,
+    /// The store loses a third of its answers.
+    LostAnswers,
+    /// The store gives no answer for 4 s, from 1 s before the instance goes off.
+    SilentBefore,
+    /// The store is restored from a copy of 3 s ago, 1 s after the instance went off.
+    Restored,
+    /// The asked instances start 2 s after the instance went off.
+    StartedLater,
+    /// Half of the other instances go off at the same moment.
+    ManyOff,
+}
+
+const ALL_TROUBLES: [Trouble; 7] = [
+    Trouble::Nothing,
+    Trouble::Slow,
+    Trouble::LostAnswers,
+    Trouble::SilentBefore,
+    Trouble::Restored,
+    Trouble::StartedLater,
+    Trouble::ManyOff,
+];
+
+/// Runs a fleet in which a listed instance goes off, and returns when each other one dropped it.
+async fn departures(count: usize, trouble: Trouble, seed: u64) -> Vec<Duration> {
+    let fleet = Fleet::spawn(count, seed);
+    fleet.run(WARM_UP).await;
+    let victim = fleet.listed_instance();
+    match trouble {
+        Trouble::Slow => fleet.set_paths(|_| Path::Slow(Duration::from_millis(300))),
+        Trouble::LostAnswers => fleet.set_paths(|_| Path::LosesAnswers(0.33)),
+        Trouble::SilentBefore => {
+            fleet.set_paths(|_| Path::Silent);
+            fleet.run(Duration::from_secs(1)).await;
+        }
+        _ => {}
+    }
+    let others: Vec<usize> = (0..count).filter(|index| *index != victim).collect();
+    fleet.power_off(victim);
+    let mut asked = others.clone();
+    if trouble == Trouble::ManyOff {
+        let (off, on) = others.split_at(count / 2);
+        for index in off {
+            fleet.power_off(*index);
+        }
+        asked = on.to_vec();
+    }
+    let backup = fleet.backup();
+    let mut departures: Vec<Option<Duration>> = vec![None; count];
+    for step in 1..=MAX_STEPS {
+        let at = Duration::from_millis(100) * step;
+        fleet.run(Duration::from_millis(100)).await;
+        match (trouble, step) {
+            (Trouble::SilentBefore, 30) => fleet.set_paths(|_| Path::Up),
+            (Trouble::Restored, 10) => fleet.restore(&backup),
+            (Trouble::StartedLater, 20) => asked.iter().for_each(|index| fleet.restart(*index)),
+            _ => {}
+        }
+        for index in &asked {
+            if fleet.addresses(*index).contains(&fleet::address(victim)) {
+                departures[*index] = None;
+            } else {
+                departures[*index].get_or_insert(at);
+            }
+            assert!(!fleet.addresses(*index).is_empty(), "an empty answer");
+        }
+    }
+    let never = Duration::from_millis(100) * (MAX_STEPS + 1);
+    asked.iter().map(|index| departures[*index].unwrap_or(never)).collect()
+}
+
+/// Guards against answers that name instances that have long been off.
+#[test_case(6; "at_6_instances")]
+#[test_case(70; "at_70_instances")]
+#[test_case(360; "at_360_instances")]
+fn an_instance_that_is_off_leaves_all_answers_in_time(count: usize) {
+    let mut late = Vec::new();
+    for trouble in ALL_TROUBLES {
+        let seeds = if count > 100 { 1..2 } else { 1..5 };
+        let mut all = Vec::new();
+        for seed in seeds {
+            all.extend(fleet::simulate(departures(count, trouble, seed)));
+        }
+        let longest = all.iter().max().copied().unwrap_or_default();
+        let mean = all.iter().sum::<Duration>() / u32::try_from(all.len()).expect("few");
+        println!("{count} instances, {trouble:?}: mean {mean:.1?}, longest {longest:.1?}");
+        if longest > MAX_DEPARTURE {
+            late.push((trouble, longest));
+        }
+    }
+    assert!(late.is_empty(), "{late:?}");
+}
+
+/// Trouble of one live instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Impairment {
+    /// Its calls to the store take 1.8 s, and its answers to other instances 0.6 s.
+    FullLink,
+    /// It does not reach the store for 4 s.
+    CutFromStore,
+    /// It stands still for 3 s.
+    Frozen,
+}
+
+/// Returns for how long each other instance left out a live one, in a trouble of some seconds.
+async fn absences(count: usize, impairment: Impairment, seed: u64) -> Vec<Duration> {
+    let fleet = Fleet::spawn(count, seed);
+    fleet.run(WARM_UP).await;
+    let subject = fleet.listed_instance();
+    let (path, seconds) = match impairment {
+        Impairment::FullLink => (Path::Slow(Duration::from_millis(1_800)), 6),
+        Impairment::CutFromStore => (Path::Silent, 4),
+        Impairment::Frozen => (Path::Silent, 3),
+    };
+    fleet.set_paths(|index| if index == subject { path } else { Path::Up });
+    let mut absences = vec![Duration::ZERO; count];
+    for step in 0..MAX_STEPS {
+        if step == seconds * 10 {
+            fleet.set_paths(|_| Path::Up);
+        }
+        fleet.run(Duration::from_millis(100)).await;
+        for (index, absence) in absences.iter_mut().enumerate() {
+            if index != subject && !fleet.addresses(index).contains(&fleet::address(subject)) {
+                *absence += Duration::from_millis(100);
+            }
+        }
+    }
+    absences.remove(subject);
+    absences
+}
+
+/// Guards against answers without an instance that serves its callers.
+#[test_case(6, Impairment::FullLink, 0.0; "at_6_instances_with_a_full_link")]
+#[test_case(70, Impairment::FullLink, 0.0; "at_70_instances_with_a_full_link")]
+#[test_case(6, Impairment::CutFromStore, 0.0; "at_6_instances_cut_from_the_store")]
+#[test_case(70, Impairment::CutFromStore, 0.0; "at_70_instances_cut_from_the_store")]
+#[test_case(6, Impairment::Frozen, 5.0; "at_6_instances_frozen")]
+#[test_case(70, Impairment::Frozen, 5.0; "at_70_instances_frozen")]
+fn a_live_instance_stays_in_the_answers(count: usize, impairment: Impairment, most_seconds: f64) {
+    let mut all = Vec::new();
+    for seed in 1..5 {
+        all.extend(fleet::simulate(absences(count, impairment, seed)));
+    }
+    let longest = all.iter().max().copied().unwrap_or_default();
+    let left_out = all.iter().filter(|absence| !absence.is_zero()).count();
+    println!(
+        "{count} instances, {impairment:?}: left out by {left_out} of {}, longest {longest:.1?}",
+        all.len()
+    );
+    assert!(longest.as_secs_f64() <= most_seconds, "left out for {longest:?}");
+}
+
+/// Guards against calls to the store that grow with the number of instances.
+#[test_case(6; "at_6_instances")]
+#[test_case(70; "at_70_instances")]
+#[test_case(360; "at_360_instances")]
+fn an_instance_makes_one_call_to_the_store_a_second(count: usize) {
+    let measure = async {
+        let fleet = Fleet::spawn(count, 1);
+        fleet.run(WARM_UP).await;
+        let (calls_before, bytes_before) = fleet.store_load();
+        fleet.run(Duration::from_secs(20)).await;
+        let (calls, bytes) = fleet.store_load();
+        (calls - calls_before, bytes - bytes_before)
+    };
+    let (calls, bytes) = fleet::simulate(measure);
+    let instance_seconds = 20 * count as u64;
+    println!("{count} instances: {calls} calls in {instance_seconds} seconds, summed over them");
+    println!("{count} instances: {} bytes read a second and instance", bytes / instance_seconds);
+    assert!(calls <= instance_seconds, "{calls} calls");
+}
