Recognise parts of prompts that crash engines

Cause: crashes were counted for the fingerprint of a whole request, so that every such request was new.

Change: a crash counts for each shared part of the requests whose answers had not begun, unless the part was answered lately. Two crashes make a part guilty if the second request was first sent after the first crash; an answer clears it everywhere; two trials end a wrong verdict. Instances follow the records by a feed. A request is checked again before each further attempt.

--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -8,7 +8,7 @@
 use h1::{Conn, Framing, Request, Response};
 use ledger::escrow::Reservation;
 use plan::routing::{Route, Table};
-use route::poison::{self, Crash, Verdict};
+use route::poison::{self, Crash, Verdict, part};
 use route::prefix;
 use slog::info;
 use thiserror::Error;
@@ -71,7 +71,13 @@
     pub arrival: Duration,
     /// Time by which the answer must have ended.
     pub deadline: Duration,
+    /// Ids of the prompt parts that other requests may share.
+    shared_parts: Vec<part::Id>,
+    /// Whether the request is sent only to find out whether one of its parts crashes upstreams.
+    is_trial: bool,
     tried_upstreams: Vec<UpstreamId>,
+    /// Time of the first attempt; `None` before it.
+    first_sent_at: Option<Duration>,
     /// Number of attempts that sent the request to an upstream.
     pub sent_count: usize,
     /// Whether an upstream may have run the request in an attempt that failed.
@@ -133,6 +139,7 @@
         let request_hash =
             prefix::mix(prefix::extend_hash(prefix::mix(3), params.request_id.as_bytes()));
         let service = route.pick_service(request_hash).map_or_else(|| "".into(), Arc::clone);
+        let shared_parts = params.shared_part_ids(&service);
         let time_limit = params.timeout.map_or(route.timeout, |time| time.min(route.timeout));
         Self {
             front: Rc::clone(front),
@@ -146,7 +153,10 @@
             body,
             arrival,
             deadline: arrival + time_limit,
+            shared_parts,
+            is_trial: false,
             tried_upstreams: Vec::new(),
+            first_sent_at: None,
             sent_count: 0,
             may_have_run: false,
         }
@@ -167,6 +177,11 @@
     /// Returns the refusal for the caller if no upstream begins an answer.
     pub async fn send(&mut self, last_event_id: Option<u64>) -> Result<Answer, Refusal> {
         self.reject_poison()?;
+        match self.front.part_suspects.admit(&self.shared_parts).await {
+            part::Admission::Granted => {}
+            part::Admission::Trial => self.is_trial = true,
+            part::Admission::Refused => return Err(self.poison_refusal()),
+        }
         let mut failed_connects = 0;
         loop {
             let time_left = self.time_left();
@@ -219,6 +234,12 @@
                 continue;
             }
             self.may_have_run |= !matches!(failure, Failure::NotRun(_));
+            if let Failure::Exchange(error) = &failure {
+                self.detect_crash(&selection.upstream, error, false).await;
+                if self.front.part_suspects.is_refused(&self.shared_parts) {
+                    return Err(self.poison_refusal());
+                }
+            }
             if !self.may_send_again(&failure) {
                 return Err(self.final_refusal(&failure));
             }
@@ -228,7 +249,10 @@
     /// Returns true, and consumes a retry, if another upstream may get the request.
     fn may_send_again(&self, failure: &Failure) -> bool {
         let is_safe = matches!(failure, Failure::NotRun(_)) || self.route.kind.is_repeatable();
-        is_safe && self.sent_count < self.route.max_attempts && self.consume_retry()
+        is_safe
+            && !self.is_trial
+            && self.sent_count < self.route.max_attempts
+            && self.consume_retry()
     }
 
     /// Consumes a retry of the service; returns false if its limit is reached.
@@ -243,6 +267,7 @@
     #[must_use]
     pub fn may_resume(&self) -> bool {
         self.route.kind.is_repeatable()
+            && !self.is_trial
             && self.sent_count < self.route.max_attempts
             && self.consume_retry()
     }
@@ -260,12 +285,26 @@
             return Ok(());
         }
         match suspects.lookup(&self.fingerprint()) {
-            Verdict::Guilty if self.may_have_run => Err(Refusal::unknown(502, "crashes_upstreams")),
-            Verdict::Guilty => Err(Refusal::not_run(502, "crashes_upstreams")),
+            Verdict::Guilty => Err(self.poison_refusal()),
             Verdict::Clear | Verdict::Suspect => Ok(()),
         }
     }
 
+    fn poison_refusal(&self) -> Refusal {
+        if self.may_have_run {
+            Refusal::unknown(502, "crashes_upstreams")
+        } else {
+            Refusal::not_run(502, "crashes_upstreams")
+        }
+    }
+
+    /// Clears the prompt parts of a request whose answer has begun.
+    pub fn record_begun_answer(&self) {
+        if !self.shared_parts.is_empty() {
+            self.front.part_suspects.record_answer(&self.shared_parts);
+        }
+    }
+
     /// Ends the suspicion against a request that an upstream has run to the end.
     pub fn report_completion(&self, upstream: &UpstreamId) {
         let suspects = &self.front.suspects;
@@ -316,13 +355,11 @@
         } else {
             self.time_left()
         };
+        self.first_sent_at.get_or_insert(sent_at);
         let result = timeout(attempt_timeout, self.exchange(upstream, &mut conn, &message)).await;
         let (head, metadata, is_reusable) = match result {
             Ok(Ok(exchanged)) => exchanged,
-            Ok(Err(error)) => {
-                self.detect_crash(upstream, &error);
-                return Err(Failure::Exchange(error));
-            }
+            Ok(Err(error)) => return Err(Failure::Exchange(error)),
             Err(_) => return Err(Failure::Timeout),
         };
         if (200..300).contains(&head.status) && !metadata.is_signed {
@@ -437,33 +474,42 @@
     }
 
     /// Reports a crash if a connection was lost and a new connect fails.
-    pub fn detect_crash(&self, upstream: &Rc<Upstream>, error: &h1::Error) {
+    ///
+    /// The crash is known at this instance when the future ends, and written to the shared records
+    /// afterwards. If the answer had begun, the parts of the prompt are not its cause.
+    pub async fn detect_crash(&self, upstream: &Rc<Upstream>, error: &h1::Error, has_begun: bool) {
         if !matches!(error, h1::Error::UnexpectedEof | h1::Error::Io(_)) {
             return;
         }
-        let front = Rc::clone(&self.front);
-        let upstream = Rc::clone(upstream);
+        let front = &self.front;
         let entry = &upstream.entry;
-        let crash = Crash {
-            fingerprint: self.fingerprint(),
-            // Equal requests at one crash count once, and the attempts of one request each.
-            run_id: format!("{}@{}", entry.id, entry.born),
-            upstream: Arc::clone(&entry.id),
+        // The attempts of one request at different upstreams count each.
+        let run_id = format!("{}@{}", entry.id, entry.born);
+        let error = match Conn::open(entry.address, CONNECT_TIMEOUT, front.unacked_timeout).await {
+            // The upstream still accepts connections: it lost an answer but did not crash.
+            Ok(conn) => return upstream.release(conn, None, front.clock.now()),
+            Err(error) => error,
         };
-        let request = Arc::clone(&self.params.request_id);
+        let now = front.clock.now();
+        upstream.eject(now);
+        info!(front.log, "upstream crashed"; "request" => self.params.request_id.as_ref(),
+            "upstream" => entry.id.as_ref(), "error" => %error, "has_begun" => has_begun,
+            "parts" => self.shared_parts.iter().map(|part| format!("{part:x}")).collect::<Vec<_>>().join(","));
+        if !has_begun && !self.shared_parts.is_empty() {
+            // Two attempts of one request do not tell which of its parts is the cause.
+            let first_sent_at = self.first_sent_at.unwrap_or(now);
+            front.part_suspects.record_crash(&part::Crash {
+                parts: self.shared_parts.clone(),
+                run_id: run_id.clone(),
+                sent_before: now.saturating_sub(first_sent_at),
+            });
+        }
+        let fingerprint = self.fingerprint();
+        let crash = Crash { fingerprint, run_id, upstream: Arc::clone(&entry.id) };
+        let front = Rc::clone(front);
         ntex::rt::spawn(async move {
-            let address = upstream.entry.address;
-            match Conn::open(address, CONNECT_TIMEOUT, front.unacked_timeout).await {
-                // The upstream still accepts connections: it lost an answer but did not crash.
-                Ok(conn) => upstream.release(conn, None, front.clock.now()),
-                Err(error) => {
-                    upstream.eject(front.clock.now());
-                    info!(front.log, "upstream crashed"; "request" => request.as_ref(),
-                        "upstream" => crash.upstream.as_ref(), "error" => %error);
-                    let verdict = front.suspects.report_crash(crash).await;
-                    info!(front.log, "crash reported"; "verdict" => ?verdict);
-                }
-            }
+            let verdict = front.suspects.report_crash(crash).await;
+            info!(front.log, "crash reported"; "verdict" => ?verdict);
         });
     }
 
--- a/crates/front/src/params.rs
+++ b/crates/front/src/params.rs
@@ -57,6 +57,18 @@
         hashes.collect()
     }
 
+    /// Returns an id for each part that other requests may share, valid for one service.
+    ///
+    /// The same part may crash the upstreams of one service and not those of another.
+    #[must_use]
+    pub fn shared_part_ids(&self, service: &str) -> Vec<u64> {
+        let service_hash = prefix::extend_hash(prefix::mix(5), service.as_bytes());
+        let parts = &self.prompt_parts[..self.shared_part_count()];
+        let id =
+            |part: &Part| prefix::mix(prefix::extend_hash(service_hash, &part.id.to_le_bytes()));
+        parts.iter().map(id).collect()
+    }
+
     /// Returns how many leading parts other requests may share.
     #[must_use]
     pub fn shared_part_count(&self) -> usize {
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -24,6 +24,10 @@
 ///
 /// The upstream may have sent them before the connection failed.
 const UNSEEN_EVENTS: u64 = 2;
+/// Events of an answer after which a crash is not blamed on the parts of the prompt.
+///
+/// The first one may have been sent just before a crash at the begin of the answer.
+const MIN_BEGUN_EVENTS: u64 = 2;
 /// Time after the deadline in which an answer sent right at the deadline may arrive.
 const DEADLINE_GRACE: Duration = Duration::from_millis(60);
 /// Fields that apply to a single connection.
@@ -102,6 +106,7 @@
             Ok((head, body)) => {
                 if head.status < 400 {
                     call.report_completion(&upstream.entry.id);
+                    call.record_begun_answer();
                 }
                 return write_answer(call, conn, &head, &body, keep_open).await;
             }
@@ -112,7 +117,7 @@
             }
             Err(Interruption::Upstream(error)) => {
                 call.may_have_run = true;
-                call.detect_crash(&upstream, &error);
+                call.detect_crash(&upstream, &error, false).await;
                 info!(call.front.log, "answer broke off";
                     "request" => call.params.request_id.as_ref(), "error" => %error,
                     "upstream" => upstream.entry.id.as_ref());
@@ -261,6 +266,8 @@
     decoder: Decoder,
     last_event_id: Option<u64>,
     delivered_events: u64,
+    /// Events of the present answer; a resumed stream has several answers.
+    answer_events: u64,
     has_begun: bool,
 }
 
@@ -277,6 +284,7 @@
             decoder: Decoder::default(),
             last_event_id,
             delivered_events: 0,
+            answer_events: 0,
             has_begun: false,
         }
     }
@@ -298,7 +306,9 @@
                 Err(Interruption::Upstream(error)) => {
                     let now = self.call.front.clock.now();
                     self.answer.flight.upstream().record_failure(now);
-                    self.call.detect_crash(self.answer.flight.upstream(), &error);
+                    let upstream = Rc::clone(self.answer.flight.upstream());
+                    let has_begun = self.answer_events >= MIN_BEGUN_EVENTS;
+                    self.call.detect_crash(&upstream, &error, has_begun).await;
                     info!(self.call.front.log, "stream broke off";
                         "request" => self.call.params.request_id.as_ref(), "error" => %error,
                         "upstream" => self.answer.flight.upstream().entry.id.as_ref(),
@@ -340,6 +350,7 @@
         }
         self.body = Body::open(answer.head.framing);
         self.decoder = Decoder::default();
+        self.answer_events = 0;
         if !self.has_begun {
             self.head = answer.head.clone();
         }
@@ -387,7 +398,9 @@
     async fn write_events(&mut self, conn: &mut Conn, keep_open: bool) -> Result<(), Interruption> {
         let mut chunk = BytesMut::new();
         let mut count = 0;
+        let events_before = self.answer_events;
         for Event { raw, id } in self.decoder.by_ref() {
+            self.answer_events += 1;
             if id.is_some() && id <= self.last_event_id {
                 continue;
             }
@@ -395,6 +408,9 @@
             chunk.extend_from_slice(&raw);
             count += u64::from(id.is_some());
         }
+        if events_before < MIN_BEGUN_EVENTS && self.answer_events >= MIN_BEGUN_EVENTS {
+            self.call.record_begun_answer();
+        }
         if chunk.is_empty() {
             return Ok(());
         }
@@ -431,6 +447,7 @@
         record_end(&self.call, self.head.status, self.delivered_events, "stream complete");
         let Answer { conn: upstream, metadata, flight, is_reusable, .. } = self.answer;
         self.call.report_completion(&flight.upstream().entry.id);
+        self.call.record_begun_answer();
         if is_reusable {
             let now = self.call.front.clock.now();
             flight.upstream().release(upstream, metadata.keep_alive, now);
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -10,7 +10,7 @@
 use ledger::escrow::{Escrow, Fault, Reservation};
 use plan::routing::{Route, Table};
 use route::placement::Average;
-use route::poison::Suspects;
+use route::poison::{Suspects, part};
 use route::retry::{Limiter, Limits};
 use slog::{Logger, info};
 
@@ -49,6 +49,8 @@
     pub escrow: Escrow,
     /// Requests that are known or suspected to crash upstreams.
     pub suspects: Rc<dyn Suspects>,
+    /// Parts of prompts that are known or suspected to crash upstreams.
+    pub part_suspects: Rc<dyn part::Suspects>,
     /// All instances, and the addresses that callers receive.
     pub roster: Rc<Roster>,
     /// Model of the queue at this instance's link, for admission.
--- a/crates/route/src/poison.rs
+++ b/crates/route/src/poison.rs
@@ -4,12 +4,13 @@
 //! table that all instances read. A request that was in flight at one crash is a suspect. The
 //! crate `flow` runs it again only in a trial, as the only suspect at its upstream, so that the
 //! next crash is attributed to it and not to other requests; `front` requests no trials. After
-//! [`MAX_CRASHES`] crashes all instances reject it until its record expires.
+//! [`MAX_CRASHES`] crashes all instances reject it until its record expires. [`part`] does the same
+//! for parts of prompts.
 
 pub mod cache;
 pub mod client;
+pub mod part;
 pub mod record;
-
 pub mod table;
 
 use std::fmt;
--- a/crates/route/src/poison/client.rs
+++ b/crates/route/src/poison/client.rs
@@ -13,10 +13,12 @@
 use super::cache::Cache;
 use super::record::Record;
 use super::table::Table;
-use super::{Admission, Crash, Fingerprint, Suspects, Verdict};
+use super::{Admission, Crash, Fingerprint, Suspects, Verdict, part};
 
 /// Longest time for which a request waits for the loop.
 const REPLY_TIMEOUT: Duration = Duration::from_secs(2);
+/// Pause after each read, so that a series of changes causes few reads.
+const MIN_REFRESH_PAUSE: Duration = Duration::from_millis(200);
 /// Poll intervals after which every reachable instance has read a new record.
 const PROPAGATION_POLLS: u32 = 2;
 
@@ -113,37 +115,58 @@
 
 /// Executes the commands of a client until all its clones are dropped.
 ///
-/// `poll_interval` is the interval at which all records are read from the table.
-pub async fn serve(inbox: Inbox, rows: Rc<dyn store::Table>, poll_interval: Duration, log: Logger) {
+/// Rows that have changed are read within `poll_interval`, or at once if the table has a feed.
+/// `parts` is the inbox of the records of prompt parts, for upstreams whose prompts have parts.
+pub async fn serve(
+    inbox: Inbox,
+    parts: Option<part::client::Inbox>,
+    rows: Rc<dyn store::Table>,
+    poll_interval: Duration,
+    log: Logger,
+) {
     let Inbox { cache, clock, commands } = inbox;
     let table = Rc::new(Table::open(rows, clock));
-    let refreshing = refresh(Rc::clone(&table), Arc::clone(&cache), poll_interval, log.clone());
+    let part_rows = parts.as_ref().map(part::client::Inbox::executor);
+    let refreshing =
+        refresh(Rc::clone(&table), Arc::clone(&cache), part_rows, poll_interval, log.clone());
+    let part_log = log.clone();
+    let executing_parts = async move {
+        match parts {
+            Some(mut inbox) => inbox.execute(&part_log).await,
+            None => std::future::pending().await,
+        }
+    };
     let executing = commands.for_each_concurrent(None, |command| {
         let (table, cache, log) = (Rc::clone(&table), Arc::clone(&cache), log.clone());
         async move { execute(&table, &cache, command, poll_interval, &log).await }
     });
-    futures::future::select(refreshing.boxed_local(), executing.boxed_local())
-        .then(|_| ready(()))
-        .await;
+    let tasks = [refreshing.boxed_local(), executing.boxed_local(), executing_parts.boxed_local()];
+    futures::future::select_all(tasks).then(|_| ready(())).await;
 }
 
-async fn refresh(table: Rc<Table>, cache: Arc<Cache>, poll_interval: Duration, log: Logger) {
+async fn refresh(
+    table: Rc<Table>,
+    cache: Arc<Cache>,
+    parts: Option<part::client::Executor>,
+    poll_interval: Duration,
+    log: Logger,
+) {
     let mut is_down = false;
     let mut last_era = None;
+    let mut longest_wait = Duration::ZERO;
     loop {
         // While the table is unreachable the cached records stay in force.
-        let result = match table.read_records().await {
-            Ok(records) => {
-                let era = table.era();
-                if last_era.replace(era).is_some_and(|last| last != era) {
-                    warn!(log, "crash records kept after a restore of the store");
-                    cache.unshare();
-                }
-                cache.replace_shared(records, millis(table.wall()));
-                publish(&table, &cache, &log).await
+        let result = async {
+            if table.wait_change(longest_wait).await? || is_down {
+                read(&table, &cache, parts.as_ref(), &mut last_era, &log).await?;
+            }
+            publish(&table, &cache, &log).await?;
+            match &parts {
+                Some(parts) => parts.publish(&log).await,
+                None => Ok(()),
             }
-            Err(error) => Err(error),
         };
+        let result = result.await;
         match &result {
             Err(error) if !is_down => {
                 warn!(log, "store lost"; "dependency" => "crash records", "error" => %error);
@@ -152,7 +175,31 @@
             _ => {}
         }
         is_down = result.is_err();
-        sleep(poll_interval).await;
+        longest_wait = poll_interval;
+        sleep(MIN_REFRESH_PAUSE.min(poll_interval)).await;
+    }
+}
+
+/// Replaces the cached records by those of the table.
+async fn read(
+    table: &Table,
+    cache: &Cache,
+    parts: Option<&part::client::Executor>,
+    last_era: &mut Option<u64>,
+    log: &Logger,
+) -> Result<(), store::Error> {
+    let (records, part_rows) = table.read_rows().await?;
+    let era = table.era();
+    let was_restored = last_era.is_some() && *last_era != era;
+    *last_era = era;
+    if was_restored {
+        warn!(log, "crash records kept after a restore of the store");
+        cache.unshare();
+    }
+    cache.replace_shared(records, millis(table.wall()));
+    match parts {
+        Some(parts) => parts.clear_all(parts.replace(&part_rows, was_restored)).await,
+        None => Ok(()),
     }
 }
 
--- a/crates/route/tests/crash_records.rs
+++ b/crates/route/tests/crash_records.rs
@@ -64,7 +64,7 @@
     clock.advance(Duration::from_secs(1_000));
     let (client, inbox) = client::open(clock as Arc<dyn Clock>);
     let rows: Rc<dyn Table> = Rc::clone(table) as Rc<dyn Table>;
-    ntex::rt::spawn(client::serve(inbox, rows, POLL_INTERVAL, Logger::root(Discard, o!())));
+    ntex::rt::spawn(client::serve(inbox, None, rows, POLL_INTERVAL, Logger::root(Discard, o!())));
     client
 }
 
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -11,6 +11,7 @@
 
 use std::time::Duration;
 
+use futures::FutureExt;
 use futures::future::LocalBoxFuture;
 
 pub use crate::error::Error;
@@ -35,6 +36,20 @@
     /// After an error, it is unknown whether the transaction was applied.
     fn commit(&self, txn: Txn) -> Pending<'_, Commit>;
 
+    /// Waits until a row of a table may have changed since the last call, `longest` at most.
+    ///
+    /// `prefix` is the first segment of the rows' keys. Returns false if no row has changed; the
+    /// first call returns true at once, so that changes during the next read are not missed. Tables
+    /// without a feed wait for the whole time.
+    fn wait_change(&self, prefix: String, longest: Duration) -> Pending<'_, bool> {
+        drop(prefix);
+        async move {
+            tokio::time::sleep(longest).await;
+            Ok(true)
+        }
+        .boxed_local()
+    }
+
     /// Returns a time that the table's own steady clock has certainly reached.
     ///
     /// `None` if the table reports no time, or has not reported one yet.
