Cut off answers without end by bounded counts and times

An engine in trouble may send a head or a body without end. Callers of a stream of empty events got no answer, and their connection stayed open: the deadline was never noticed, because the timer is polled only while the engine pauses. Interim answers and trailers without end were read until the deadline, one-byte chunks up to 8 MiB, and a long event was searched anew with every read.

A plain answer may have 2 MiB, an event 256 KiB; known ones have some KB.

--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -168,6 +168,12 @@
         self.deadline.saturating_sub(self.front.clock.now())
     }
 
+    /// Returns true if the deadline passed longer than `grace` ago.
+    #[must_use]
+    pub fn is_overdue(&self, grace: Duration) -> bool {
+        self.front.clock.now() > self.deadline + grace
+    }
+
     /// Sends the request until an upstream begins an answer to relay.
     ///
     /// A stream resumes after the event `last_event_id`.
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -15,9 +15,9 @@
 use crate::{Refusal, refusal};
 
 /// Largest body of an answer that is buffered whole.
-const MAX_ANSWER_BYTES: usize = 8 << 20;
+const MAX_ANSWER_BYTES: usize = 2 << 20;
 /// Buffered bytes without a complete event at which a stream fails.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+const MAX_EVENT_BYTES: usize = 256 << 10;
 /// Longest time for a write to a caller that does not read.
 const CALLER_WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Events that are billed after the last relayed one if an answer is interrupted.
@@ -384,6 +384,10 @@
                 return Err(Interruption::Upstream(error));
             }
             let time_left = self.call.time_left() + DEADLINE_GRACE;
+            // An upstream that sends without a pause would never let the timer be polled.
+            if self.call.is_overdue(DEADLINE_GRACE) {
+                return Err(Interruption::Deadline);
+            }
             tokio::select! {
                 biased;
                 more = self.answer.conn.fill_body(&mut self.body) =>
--- a/crates/front/src/sse.rs
+++ b/crates/front/src/sse.rs
@@ -6,6 +6,8 @@
 #[derive(Debug, Default)]
 pub struct Decoder {
     pending: BytesMut,
+    /// Start of the first pending line whose end has not been found yet.
+    scanned: usize,
 }
 
 /// A complete event, including the empty line that ends it.
@@ -39,20 +41,18 @@
         self.pending.len()
     }
 
-    fn event_end(&self) -> Option<usize> {
-        let bytes = &self.pending[..];
-        let mut line_start = 0;
-        for (index, byte) in bytes.iter().enumerate() {
-            if *byte != b'\n' {
-                continue;
+    /// Returns the offset after the next event, and remembers how far it has searched.
+    fn event_end(&mut self) -> Option<usize> {
+        let mut line_start = self.scanned;
+        while let Some(length) = self.pending[line_start..].iter().position(|byte| *byte == b'\n') {
+            let end = line_start + length;
+            let line = &self.pending[line_start..end];
+            if line.strip_suffix(b"\r").unwrap_or(line).is_empty() {
+                return Some(end + 1);
             }
-            let content =
-                bytes[line_start..index].strip_suffix(b"\r").unwrap_or(&bytes[line_start..index]);
-            if content.is_empty() {
-                return Some(index + 1);
-            }
-            line_start = index + 1;
+            line_start = end + 1;
         }
+        self.scanned = line_start;
         None
     }
 }
@@ -63,6 +63,7 @@
     fn next(&mut self) -> Option<Event> {
         let end = self.event_end()?;
         let raw = self.pending.split_to(end).freeze();
+        self.scanned = 0;
         let id = raw.split(|byte| *byte == b'\n').find_map(parse_id);
         Some(Event { raw, id })
     }
--- a/crates/h1/src/body.rs
+++ b/crates/h1/src/body.rs
@@ -8,6 +8,9 @@
 /// Longest chunk size line or trailer line, in bytes.
 const MAX_LINE_BYTES: usize = 1024;
 
+/// Most bytes of all trailer lines together.
+const MAX_TRAILER_BYTES: usize = 8 << 10;
+
 /// Decoder of one message body, independent of the connection that delivers it.
 #[derive(Debug, Clone)]
 pub struct Body {
@@ -20,7 +23,8 @@
     ChunkSize,
     Chunk(u64),
     ChunkEnd,
-    Trailer,
+    /// Holds the number of trailer bytes so far.
+    Trailer(usize),
     UntilClose,
     Done,
 }
@@ -85,7 +89,7 @@
                 State::ChunkSize => {
                     let Some(line) = split_line(input)? else { return Ok(None) };
                     let size = parse_chunk_size(&line)?;
-                    self.state = if size == 0 { State::Trailer } else { State::Chunk(size) };
+                    self.state = if size == 0 { State::Trailer(0) } else { State::Chunk(size) };
                 }
                 State::ChunkEnd => {
                     let Some(line) = split_line(input)? else { return Ok(None) };
@@ -94,11 +98,13 @@
                     }
                     self.state = State::ChunkSize;
                 }
-                State::Trailer => {
+                State::Trailer(size) => {
                     let Some(line) = split_line(input)? else { return Ok(None) };
-                    if line.is_empty() {
-                        self.state = State::Done;
+                    let size = size + line.len();
+                    if size > MAX_TRAILER_BYTES {
+                        return Err(Error::Malformed("the trailer is too long"));
                     }
+                    self.state = if line.is_empty() { State::Done } else { State::Trailer(size) };
                 }
             }
         }
--- a/crates/h1/src/conn.rs
+++ b/crates/h1/src/conn.rs
@@ -17,6 +17,8 @@
 /// Most buffered bytes of a peer that sends while none are expected.
 const MAX_UNEXPECTED_BYTES: usize = 64 << 10;
 
+/// Most interim responses before the final one.
+const MAX_INTERIM_RESPONSES: usize = 16;
 /// Longest time for which [`Conn::close_gracefully`] reads and discards input.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Most bytes that [`Conn::close_gracefully`] reads and discards.
@@ -196,9 +198,14 @@
         max_head_bytes: usize,
     ) -> Result<(Response, bool), Error> {
         let mut is_write_broken = false;
+        let mut interim_responses = 0;
         loop {
             if let Some(head) = Response::decode(&mut self.input, max_head_bytes)? {
                 if head.is_interim() {
+                    interim_responses += 1;
+                    if interim_responses > MAX_INTERIM_RESPONSES {
+                        return Err(Error::Malformed("too many interim responses"));
+                    }
                     continue;
                 }
                 return Ok((head, request.is_empty()));
