Treat a stream without length and without events as broken off

An answer may have neither a length nor chunks and end with its connection. If such a stream ended before its first event, as when the engine crashes at the begin of an answer, the caller got a complete, empty stream, and no crash was counted.

--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -5,7 +5,7 @@
 use base::clock::millis;
 use base::prelude::*;
 use bytes::{Bytes, BytesMut};
-use h1::{Body, Conn, Fields, Response};
+use h1::{Body, Conn, Fields, Framing, Response};
 use slog::info;
 use tokio::time::{sleep, timeout};
 
@@ -372,7 +372,9 @@
             }
             self.write_events(conn, keep_open).await?;
             if self.body.is_done() {
-                let is_whole = self.decoder.pending_bytes() == 0;
+                // Without a length, a stream that has no event at all has been broken off.
+                let is_whole = self.decoder.pending_bytes() == 0
+                    && (self.answer_events > 0 || self.answer.head.framing != Framing::UntilClose);
                 return if is_whole {
                     Ok(())
                 } else {
