Date crash records and trials by the clock of the store

Records of requests that crash upstreams carried the time of day of the instance that wrote them, and expired by that of the instance that read them. A jump by minutes forgot a crash, so that a guilty request was sent again, or kept all suspects from an upstream for as long. Found while looking for whatever ends by a wall clock.

All instances now use the steady clock of the table; the time of day is left for tables without a clock. Records from far in the future have the time of another clock and count as expired.

The model of the other tests reads the clock of its table from the same manual clock.

--- a/crates/route/src/poison/cache.rs
+++ b/crates/route/src/poison/cache.rs
@@ -1,8 +1,11 @@
 //! Records of crashes that this instance has cached for all its threads.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicI64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use base::clock::{Clock, millis};
 
 use super::record::Record;
 use super::{Fingerprint, Verdict};
@@ -18,20 +21,52 @@
     local: HashMap<Fingerprint, Record>,
 }
 
+/// Value of [`Cache::lead_ms`] before the table has reported a time.
+const UNKNOWN_LEAD: i64 = i64::MIN;
+
 /// Cached records of this instance; safe to share between threads.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Cache {
     has_records: AtomicBool,
+    /// Lead of the table's clock over the monotonic clock of this instance, in milliseconds.
+    lead_ms: AtomicI64,
     records: Mutex<Records>,
 }
 
+impl Default for Cache {
+    fn default() -> Self {
+        Self {
+            has_records: AtomicBool::default(),
+            lead_ms: AtomicI64::new(UNKNOWN_LEAD),
+            records: Mutex::default(),
+        }
+    }
+}
+
 impl Cache {
+    /// Notes the time of the table's clock, which all instances share.
+    pub fn set_time(&self, table_time: Duration, clock: &dyn Clock) {
+        let signed = |time| i64::try_from(millis(time)).unwrap_or(i64::MAX);
+        let lead_ms = signed(table_time).saturating_sub(signed(clock.now()));
+        self.lead_ms.store(lead_ms, Ordering::Relaxed);
+    }
+
+    /// Returns the time of the table's clock in milliseconds.
+    ///
+    /// Until the table has reported a time, it is the time of day since the Unix epoch.
+    pub fn now_ms(&self, clock: &dyn Clock) -> u64 {
+        match self.lead_ms.load(Ordering::Relaxed) {
+            UNKNOWN_LEAD => millis(clock.wall()),
+            lead_ms => millis(clock.now()).saturating_add_signed(lead_ms),
+        }
+    }
+
     /// Returns true if there is no record, without taking the lock.
     pub fn is_empty(&self) -> bool {
         !self.has_records.load(Ordering::Acquire)
     }
 
-    /// Classifies a request at a wall-clock time in milliseconds since the Unix epoch.
+    /// Classifies a request at a time of [`Self::now_ms`].
     pub fn verdict(&self, fingerprint: &str, now_ms: u64) -> Verdict {
         if self.is_empty() {
             return Verdict::Clear;
--- a/crates/route/src/poison/client.rs
+++ b/crates/route/src/poison/client.rs
@@ -65,7 +65,7 @@
     /// Records a crash at this instance only, for use while the table is unreachable.
     fn record_locally(&self, crash: &Crash) {
         let mut record = Record::default();
-        record.add_crash(&crash.run_id, millis(self.clock.wall()));
+        record.add_crash(&crash.run_id, self.cache.now_ms(&*self.clock));
         self.cache.add_local(&crash.fingerprint, &record);
     }
 }
@@ -76,7 +76,7 @@
     }
 
     fn lookup(&self, fingerprint: &str) -> Verdict {
-        self.cache.verdict(fingerprint, millis(self.clock.wall()))
+        self.cache.verdict(fingerprint, self.cache.now_ms(&*self.clock))
     }
 
     fn request_trial(
@@ -196,7 +196,10 @@
         warn!(log, "crash records kept after a restore of the store");
         cache.unshare();
     }
-    cache.replace_shared(records, millis(table.wall()));
+    if let Some(time) = table.time() {
+        cache.set_time(time, table.clock());
+    }
+    cache.replace_shared(records, millis(table.shared_time()));
     match parts {
         Some(parts) => parts.clear_all(parts.replace(&part_rows, was_restored)).await,
         None => Ok(()),
@@ -228,7 +231,7 @@
             // anywhere without a trial.
             let crashed_at = Duration::from_millis(cache.record(&fingerprint).last_crash());
             let propagated_at = crashed_at + poll_interval * PROPAGATION_POLLS;
-            sleep(propagated_at.saturating_sub(table.wall())).await;
+            sleep(propagated_at.saturating_sub(table.shared_time())).await;
             let admission = table.request_trial(&fingerprint, &upstream).await;
             // The receiver is gone if the caller has stopped waiting.
             sender.send(admission.unwrap_or(Admission::Unreachable)).unwrap_or_default();
@@ -237,7 +240,7 @@
             match table.report_crash(&crash).await {
                 Ok(record) => {
                     cache.add_shared(&crash.fingerprint, &record);
-                    sender.send(record.verdict(millis(table.wall()))).unwrap_or_default();
+                    sender.send(record.verdict(millis(table.shared_time()))).unwrap_or_default();
                 }
                 // The dropped sender makes the client record the crash at this instance.
                 Err(error) => {
--- a/crates/route/src/poison/part/record.rs
+++ b/crates/route/src/poison/part/record.rs
@@ -128,8 +128,10 @@
     }
 
     /// Returns true if [`RECORD_TTL`] has passed since the last crash.
+    ///
+    /// A record from the future has the time of another clock, and is expired as well.
     #[must_use]
     pub fn is_expired(&self, now: Millis) -> bool {
-        now >= self.last_crash().saturating_add(millis(RECORD_TTL))
+        now.abs_diff(self.last_crash()) >= millis(RECORD_TTL)
     }
 }
--- a/crates/route/src/poison/record.rs
+++ b/crates/route/src/poison/record.rs
@@ -10,7 +10,7 @@
 /// Time after a crash in a trial for which the trial still excludes other suspects.
 const REPORT_GRACE: Duration = Duration::from_secs(1);
 
-/// Wall-clock time in milliseconds since the Unix epoch.
+/// Time in milliseconds by the clock that all instances share.
 type Millis = u64;
 
 /// Crashes of one fingerprint, stored as a row of the table.
@@ -72,9 +72,11 @@
     }
 
     /// Returns true if [`RECORD_TTL`] has passed since the last crash.
+    ///
+    /// A record from the future has the time of another clock, and is expired as well.
     #[must_use]
     pub fn is_expired(&self, now: Millis) -> bool {
-        now >= self.last_crash().saturating_add(base::clock::millis(RECORD_TTL))
+        now.abs_diff(self.last_crash()) >= base::clock::millis(RECORD_TTL)
     }
 }
 
@@ -107,6 +109,9 @@
     /// Returns true if the trial is active and belongs to another suspect.
     #[must_use]
     pub fn excludes(&self, fingerprint: &str, now: Millis) -> bool {
-        now < self.until && *self.fingerprint != *fingerprint
+        let time_left = self.until.saturating_sub(now);
+        // A longer time is that of another clock.
+        let is_active = (1..=base::clock::millis(MAX_TRIAL_TIME)).contains(&time_left);
+        is_active && *self.fingerprint != *fingerprint
     }
 }
--- a/crates/route/src/poison/table.rs
+++ b/crates/route/src/poison/table.rs
@@ -44,16 +44,32 @@
 }
 
 impl Table {
-    /// Wraps the platform's table; `clock` supplies the times of crashes and trials.
+    /// Wraps the platform's table.
+    ///
+    /// `clock` supplies the times of crashes and trials if the table has no clock of its own.
     #[must_use]
     pub fn open(rows: Rc<dyn store::Table>, clock: Arc<dyn Clock>) -> Self {
         Self { rows, clock }
     }
 
-    /// Returns the wall-clock time since the Unix epoch.
+    /// Returns the clock of this instance.
+    #[must_use]
+    pub fn clock(&self) -> &dyn Clock {
+        &*self.clock
+    }
+
+    /// Returns the time of the table's clock; see [`store::Table::now`].
+    #[must_use]
+    pub fn time(&self) -> Option<Duration> {
+        self.rows.now()
+    }
+
+    /// Returns the time by which records and trials end.
+    ///
+    /// All instances share the clock of the table, while the time of day may jump on each.
     #[must_use]
-    pub fn wall(&self) -> Duration {
-        self.clock.wall()
+    pub fn shared_time(&self) -> Duration {
+        self.time().unwrap_or_else(|| self.clock.wall())
     }
 
     /// Returns the era of the table; see [`store::Table::era`].
@@ -63,7 +79,7 @@
     }
 
     fn now_ms(&self) -> u64 {
-        millis(self.wall())
+        millis(self.shared_time())
     }
 
     async fn read_snapshot(
--- a/crates/route/tests/poison.rs
+++ b/crates/route/tests/poison.rs
@@ -35,7 +35,8 @@
     fn open() -> Self {
         let clock = Arc::new(Manual::default());
         clock.advance(Duration::from_secs(1_000));
-        let table = Table::open(Rc::new(Platform::default()), Arc::clone(&clock) as Arc<dyn Clock>);
+        let rows = Rc::new(Platform::open(Arc::clone(&clock) as Arc<dyn Clock>));
+        let table = Table::open(rows, Arc::clone(&clock) as Arc<dyn Clock>);
         Self { clock, table, caches: Default::default(), runs: 0 }
     }
 
--- a/crates/store/src/memory.rs
+++ b/crates/store/src/memory.rs
@@ -2,9 +2,10 @@
 
 use std::collections::BTreeMap;
 use std::ops::Bound;
-use std::sync::{Mutex, PoisonError};
-use std::time::{Duration, Instant};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
+use base::clock::{Clock, System};
 use futures::FutureExt;
 use futures::future::ready;
 
@@ -32,17 +33,35 @@
 #[derive(Debug)]
 pub struct Platform {
     state: Mutex<State>,
-    /// Time at which the table's clock reads zero.
-    clock_origin: Instant,
+    /// Clock of the table.
+    clock: Arc<dyn Clock>,
 }
 
 impl Default for Platform {
     fn default() -> Self {
-        Self { state: Mutex::default(), clock_origin: Instant::now() }
+        Self::open(Arc::new(System::open()))
     }
 }
 
 impl Platform {
+    /// Opens a platform without rows whose table reports the monotonic time of `clock`.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::{sync::Arc, time::Duration};
+    /// use base::clock::Manual;
+    /// use store::{Table, memory::Platform};
+    /// let clock = Arc::new(Manual::default());
+    /// let platform = Platform::open(clock.clone());
+    /// clock.advance(Duration::from_secs(7));
+    /// assert_eq!(Table::now(&platform), Some(Duration::from_secs(7)));
+    /// ```
+    #[must_use]
+    pub fn open(clock: Arc<dyn Clock>) -> Self {
+        Self { state: Mutex::default(), clock }
+    }
+
     fn lock<T>(&self, f: impl FnOnce(&mut State) -> T) -> T {
         f(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
     }
@@ -180,7 +199,7 @@
     }
 
     fn now(&self) -> Option<Duration> {
-        Some(self.clock_origin.elapsed())
+        Some(self.clock.now())
     }
 
     fn era(&self) -> Option<u64> {
