Close the idle connections to an engine after one was silent

Open connections can go silent for good while new ones work. The store's client closes its pool after one call without an answer; the pool of an engine kept its idle connections, so that each of them cost another request up to 45 in 100 of its time.

one_timeout_closes_the_idle_connections_to_an_engine failed before: 3 of 4 idle connections were left.

--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -333,7 +333,9 @@
         let front = Rc::clone(&self.front);
         let upstream = &selection.upstream;
         let now = front.clock.now();
-        let mut conn = if let Some(conn) = upstream.acquire_idle(now) {
+        let idle = upstream.acquire_idle(now);
+        let is_reused = idle.is_some();
+        let mut conn = if let Some(conn) = idle {
             conn
         } else {
             let connect_timeout = CONNECT_TIMEOUT.min(time_left);
@@ -366,7 +368,13 @@
         let (head, metadata, is_reusable) = match result {
             Ok(Ok(exchanged)) => exchanged,
             Ok(Err(error)) => return Err(Failure::Exchange(error)),
-            Err(_) => return Err(Failure::Timeout),
+            Err(_) => {
+                // Open connections can go silent together, and each would cost a request as much.
+                if is_reused {
+                    upstream.close_idle();
+                }
+                return Err(Failure::Timeout);
+            }
         };
         if (200..300).contains(&head.status) && !metadata.is_signed {
             return Err(Failure::Exchange(h1::Error::Malformed("a success without a signature")));
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -165,7 +165,7 @@
     /// Returns false if one has done so before.
     pub fn record_leaving(&self) -> bool {
         self.leaving.set(true);
-        self.idle.borrow_mut().clear();
+        self.close_idle();
         !self.has_stated_leaving.replace(true)
     }
 
@@ -249,7 +249,7 @@
         let (_, last_time) = self.ejection.get();
         let ejection_time = (last_time * 2).clamp(MIN_EJECTION, MAX_EJECTION);
         self.ejection.set((now + ejection_time, ejection_time));
-        self.idle.borrow_mut().clear();
+        self.close_idle();
     }
 
     /// Removes an idle connection that is still open from the pool and returns it.
@@ -280,6 +280,11 @@
         idle.push(Idle { conn, expires_at });
     }
 
+    /// Closes all idle connections.
+    pub fn close_idle(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
     /// Closes the idle connections whose lifetime has ended.
     pub fn close_expired(&self, now: Duration) {
         self.idle.borrow_mut().retain(|idle| now < idle.expires_at);
