--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -441,7 +441,9 @@
         out.extend_from_slice(&chunk);
         out.extend_from_slice(b"\r\n");
         self.delivered_events += count;
-        match timeout(CALLER_WRITE_TIMEOUT, conn.write_all(&out)).await {
+        // The caller no longer waits after its deadline.
+        let time_left = self.call.time_left() + DEADLINE_GRACE;
+        match timeout(CALLER_WRITE_TIMEOUT.min(time_left), conn.write_all(&out)).await {
             Ok(Ok(())) => Ok(()),
             Ok(Err(_)) | Err(_) => Err(Interruption::CallerGone),
         }
--- a/crates/h1/src/conn.rs
+++ b/crates/h1/src/conn.rs
@@ -17,6 +17,8 @@
 /// Most buffered bytes of a peer that sends while none are expected.
 const MAX_UNEXPECTED_BYTES: usize = 64 << 10;
 
+/// Bytes of a peer that sends without a pause after which other tasks have their turn.
+const MAX_UNPAUSED_BYTES: usize = 64 << 10;
 /// Most interim responses before the final one.
 const MAX_INTERIM_RESPONSES: usize = 16;
 /// Longest time for which [`Conn::close_gracefully`] reads and discards input.
@@ -30,6 +32,8 @@
     stream: TcpStream,
     /// Bytes that were read and are not decoded yet.
     pub input: BytesMut,
+    /// Bytes that were read without a pause for the other tasks of the thread.
+    unpaused_bytes: usize,
 }
 
 impl Conn {
@@ -44,7 +48,7 @@
         stream.set_nodelay(true)?;
         let user_timeout = u32::try_from(user_timeout.as_millis()).unwrap_or(u32::MAX);
         sockopt::set_tcp_user_timeout(&stream, user_timeout)?;
-        Ok(Self { stream, input: BytesMut::new() })
+        Ok(Self { stream, input: BytesMut::new(), unpaused_bytes: 0 })
     }
 
     /// Connects to an address; see [`Self::from_stream`] for `user_timeout`.
@@ -69,11 +73,18 @@
     ///
     /// Returns an error if the peer reset the connection or the read failed.
     pub async fn fill_input(&mut self) -> io::Result<usize> {
+        if self.unpaused_bytes >= MAX_UNPAUSED_BYTES {
+            self.unpaused_bytes = 0;
+            tokio::task::yield_now().await;
+        }
         loop {
             self.stream.readable().await?;
             match self.try_read() {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                result => return result,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.unpaused_bytes = 0,
+                result => {
+                    self.unpaused_bytes += result.as_ref().copied().unwrap_or_default();
+                    return result;
+                }
             }
         }
     }
