Wait for the end of another body's claim before its key is written

Two instances ran one request in an outage of the table while another body held its key. The first to end found that row running and moved its end to a row of its own, named after key and digest. The other body ended as not run and freed the key's row, and the second run took it. Neither write checks the other row, so the key was billed twice.

An end now waits while the row belongs to a running claim of another body, as it does for one of the same body: once that claim has ended, the row is free, or taken for good. If its holder is dead, the row is taken over.

--- a/crates/idem/src/core.rs
+++ b/crates/idem/src/core.rs
@@ -324,7 +324,15 @@
         }
         let is_claiming = entry.phase == Phase::Claiming;
         if entry.request.digest != claim.digest {
-            self.handle_mismatch(key);
+            match (entry.phase, &claim.state) {
+                // The other request may still end as not run and free the row, which a second run
+                // of this one could then take.
+                (Phase::Ending, State::Running) => {
+                    self.foreign.insert(Arc::clone(key), Foreign { revision, claim });
+                }
+                (Phase::Granted, State::Running) => {}
+                _ => self.handle_mismatch(key),
+            }
             return;
         }
         match claim.state {
--- a/crates/idem/tests/claim_histories.rs
+++ b/crates/idem/tests/claim_histories.rs
@@ -401,3 +401,29 @@
         simulation.drain();
     }
 }
+
+/// Guards against two bills for two runs of one request in an outage, while another body held the key
+/// and then freed it.
+#[test]
+fn a_key_that_another_body_frees_after_an_outage_is_billed_once() {
+    let claim = |instance, body| Op::Claim { instance, key: 3, body };
+    let ops = [
+        claim(1, 1),
+        claim(2, 0),
+        Op::Unreachable { instance: 2 },
+        Op::Start { index: 0 },
+        Op::Step { instance: 1 },
+        claim(0, 0),
+        Op::Deliver { instance: 1, delivery: Delivery::Replied },
+        Op::Drop { index: 0 },
+        Op::Unreachable { instance: 0 },
+        Op::End { index: 0, outcome: 2 },
+        Op::Start { index: 0 },
+        Op::End { index: 0, outcome: 2 },
+    ];
+    let mut simulation = Simulation::open();
+    for op in &ops {
+        simulation.apply(op);
+    }
+    simulation.drain();
+}
