End the predecessor's spend limit at the start of its successor

Callers saw 402 and 429 after a loss of all instances that began in an outage of the store: the row of the old start was read 1.7 s and more after the start of the new one, and its spend limit grew until then, although the old process was dead. The limit now counts up to the start: the store's time of the answer less the time from the start of the process to the call, which cannot be too early whatever the answer took.

--- a/crates/ledger/src/escrow/driver.rs
+++ b/crates/ledger/src/escrow/driver.rs
@@ -70,6 +70,8 @@
     pub incarnation: Incarnation,
     /// Clock of this instance, for timeouts and spending rates.
     pub clock: Arc<dyn Clock>,
+    /// When this start of the instance began, by [`Self::clock`].
+    pub started_at: Duration,
     /// Logger for changes of budgets and shares, and for store outages.
     pub log: Logger,
 }
@@ -283,7 +285,8 @@
             return Rc::clone(entry);
         }
         let context = &self.inner.context;
-        let mut share = Share::open(account, &context.holder, context.incarnation);
+        let mut share = Share::open(account, &context.holder, context.incarnation)
+            .started_at(context.started_at);
         self.configure_share(account, &mut share);
         let entry = Rc::new(Entry {
             account: Arc::clone(account),
--- a/crates/ledger/src/escrow/latency.rs
+++ b/crates/ledger/src/escrow/latency.rs
@@ -26,6 +26,12 @@
         self.call_started_at = now;
     }
 
+    /// Returns when the last call started.
+    #[must_use]
+    pub fn call_started_at(&self) -> Duration {
+        self.call_started_at
+    }
+
     /// Records that the answer to the write arrived.
     pub fn end_write(&mut self, now: Duration) {
         let sample = now.saturating_sub(self.call_started_at);
--- a/crates/ledger/src/escrow/share.rs
+++ b/crates/ledger/src/escrow/share.rs
@@ -113,6 +113,8 @@
     unconfirmed: Option<Grant>,
     /// Whether this incarnation has written the own row.
     owns_row: bool,
+    /// When this start of the instance began; its predecessor had ended by then.
+    started_at: Option<Duration>,
     /// Era of the store to which the known rows belong; `None` before the first read.
     era: Option<u64>,
     /// Tokens that were granted before a restore of the store, until they are written again.
@@ -171,6 +173,7 @@
             in_flight: None,
             unconfirmed: None,
             owns_row: false,
+            started_at: None,
             era: None,
             lost_grant: None,
             lost_out: None,
@@ -193,6 +196,16 @@
         }
     }
 
+    /// Sets when this start of the instance began, by the clock of the steps.
+    ///
+    /// The previous start has spent nothing later, even if its row is read only after an outage of
+    /// the store. Without this time, the spend limit of its row counts up to the read.
+    #[must_use]
+    pub fn started_at(mut self, started_at: Duration) -> Self {
+        self.started_at = Some(started_at);
+        self
+    }
+
     /// Sets the budget of the account and the fleet of which callers are given addresses.
     ///
     /// `budget` is `None` for an account without a limit. `is_listed` tells whether callers are
@@ -581,7 +594,7 @@
         }
         if self.stored_revision > 0 && self.stored.incarnation != self.incarnation {
             if !self.owns_row {
-                self.take_over_row(store_now);
+                self.take_over_row(self.predecessor_end(store_now));
             } else if self.is_row_of_earlier_era() {
                 self.replace_restored_row();
             }
@@ -613,14 +626,25 @@
             Grant { incarnation: self.incarnation, seq: self.stored.seq, ..Grant::default() };
     }
 
-    /// Starts the share with the tokens that the previous start cannot have used.
-    fn take_over_row(&mut self, store_now: Duration) {
+    /// Returns a time of the store's clock by which the previous start had ended.
+    ///
+    /// The store gave its time after the call had started, so that the time from the start of the
+    /// instance to the call cannot be too long.
+    fn predecessor_end(&self, store_now: Duration) -> Duration {
+        let uptime = self
+            .started_at
+            .map(|started_at| self.latency.call_started_at().saturating_sub(started_at));
+        store_now.saturating_sub(uptime.unwrap_or_default())
+    }
+
+    /// Starts the share with the tokens that the previous start cannot have used by its end.
+    fn take_over_row(&mut self, predecessor_end: Duration) {
         // The newest row of the previous start may be lost, so the spend limit of this one does
         // not bound its use.
         let limit = if self.is_row_of_earlier_era() {
             self.stored.granted
         } else {
-            self.stored.spend_limit_at(millis(store_now))
+            self.stored.spend_limit_at(millis(predecessor_end))
         };
         let unused = self.stored.granted - limit;
         // The rest of the old grant may have been used and stays counted in `Total::out`.
--- a/crates/ledger/tests/escrow.rs
+++ b/crates/ledger/tests/escrow.rs
@@ -8,14 +8,14 @@
 use base::clock::System;
 use base::prelude::*;
 use ledger::escrow::driver::Context;
-use ledger::escrow::row::key_prefix;
+use ledger::escrow::row::{holder_key, key_prefix};
 use ledger::escrow::share::Step;
-use ledger::escrow::{Escrow, Fault, Share};
+use ledger::escrow::{Escrow, Fault, Grant, Share};
 use proptest::prelude::*;
 use slog::{Discard, Logger, o};
-use store::Table;
-use store::Txn;
 use store::memory::{Backup, Platform};
+use store::{Row, Table, Txn};
+use test_case::test_case;
 
 const ACCOUNT: &str = "shop";
 const BUDGET: Tokens = 10_000;
@@ -81,7 +81,8 @@
     fn start(&mut self, index: usize, count: usize) -> Node {
         self.start_count += 1;
         let holder: InstanceId = format!("node-{index}").into();
-        let mut share = Share::open(&ACCOUNT.into(), &holder, 1_000 - self.start_count);
+        let mut share =
+            Share::open(&ACCOUNT.into(), &holder, 1_000 - self.start_count).started_at(self.now);
         share.configure(Some(BUDGET), count as u64, true);
         Node { share, reserved_bounds: Vec::new(), is_alive: true }
     }
@@ -321,6 +322,56 @@
     );
 }
 
+/// Guards against a successor that counts as used what its predecessor could have spent later.
+///
+/// The store is away when all instances start, so that the row is read long after the start.
+#[test_case(Duration::ZERO; "at once")]
+#[test_case(Duration::from_secs(2); "slow answer")]
+fn time_until_the_first_read_strands_no_tokens(read_time: Duration) {
+    let reclaimed_after = |outage: Duration| {
+        let platform = Platform::default();
+        let now = Duration::from_secs(1);
+        let mut first = Share::open(&ACCOUNT.into(), &"one".into(), 1);
+        first.configure(Some(BUDGET), 2, true);
+        run_steps(&mut first, &platform, now);
+        first.set_demand(200);
+        run_steps(&mut first, &platform, now);
+        drop(first);
+        let started_at = now + Duration::from_millis(500);
+        let mut second = Share::open(&ACCOUNT.into(), &"one".into(), 2).started_at(started_at);
+        second.configure(Some(BUDGET), 2, true);
+        let called_at = started_at + outage;
+        assert_eq!(second.step(called_at, None), Step::Read);
+        let rows = platform.range(&key_prefix(ACCOUNT), "", MAX_SCAN_ROWS);
+        let read_at = called_at + read_time;
+        second.handle_rows(&rows, read_at, read_at);
+        second.free()
+    };
+    let at_once = reclaimed_after(Duration::ZERO);
+    assert!(at_once > 0);
+    assert_eq!(reclaimed_after(Duration::from_secs(9)), at_once);
+}
+
+/// Guards against a successor that reclaims what its predecessor spent just before the start.
+#[test]
+fn time_of_a_slow_first_read_counts_as_time_of_the_predecessor() {
+    let row =
+        Grant { granted: 9_000, exposure: 500, per_s: 1_000, incarnation: 1, ..Grant::default() };
+    let rows = [Row {
+        key: holder_key(ACCOUNT, "one"),
+        revision: 1,
+        value: serde_json::to_value(row).expect("a row"),
+    }];
+    // The clock of the store may have shown anything from 3 to 5 s when the instance started.
+    let started_at = Duration::from_secs(30);
+    let mut share = Share::open(&ACCOUNT.into(), &"one".into(), 2).started_at(started_at);
+    share.configure(Some(BUDGET), 2, true);
+    let called_at = started_at + Duration::from_secs(1);
+    assert_eq!(share.step(called_at, None), Step::Read);
+    share.handle_rows(&rows, called_at + Duration::from_secs(2), Duration::from_secs(6));
+    assert_eq!(share.free(), 9_000 - 500 - 5_000);
+}
+
 /// Guards against tokens that are granted twice because the total forgot the first grant.
 #[test]
 fn tokens_are_not_taken_until_the_holders_have_written_their_shares_again() {
@@ -424,6 +475,7 @@
         holder: "one".into(),
         incarnation: 1,
         clock: Arc::new(System::open()),
+        started_at: Duration::ZERO,
         log: Logger::root(Discard, o!()),
     });
     let account: AccountId = ACCOUNT.into();
