List one instance for each failure domain in a fleet at low load

A twelfth of the fleet was listed whatever its load.

Now the fewest listed are four, and one for each failure domain; the load adds more as before.

The test a_large_fleet_at_low_load_lists_one_instance_for_each_failure_domain fails before (17 listed).

--- a/crates/front/src/roster.rs
+++ b/crates/front/src/roster.rs
@@ -9,8 +9,9 @@
 //! Callers receive the addresses of the listed instances: as few as carry the load with headroom.
 //! All instances derive the same order. The largest come first, since all requests of a large
 //! account may go to one of them; equally large ones alternate between the failure domains. With
-//! few listed instances, the budget of a client account is split into few shares, which matters
-//! most when it is nearly used up.
+//! few listed instances, the budget of a client account is split into few shares. This matters near
+//! its end, and in an outage of the store, when each share lasts the longer the more requests it
+//! serves.
 
 pub mod member;
 pub mod probe;
@@ -52,9 +53,9 @@
 /// Most instances that are probed besides the listed ones.
 const MAX_FURTHER_PROBES: usize = 64;
 /// Fewest listed instances, so that the loss of one affects few callers.
+///
+/// There is at least one for each failure domain, too.
 const MIN_LISTED: usize = 4;
-/// At least one in this many of the live, not leaving instances is listed.
-const LISTED_DIVISOR: usize = 12;
 /// Ratio of the listed capacity to the request rate that leaves headroom for bursts.
 const CAPACITY_HEADROOM: f64 = 1.5;
 /// Request rate, relative to the mean of listed instances, that counts as overload.
@@ -258,7 +259,9 @@
         let alive = members.values().filter(|member| self.is_alive(member));
         let rate: f64 = alive.map(|member| member.record.rate).sum();
         let ranked = self.ranked(&members);
-        let min_listed = MIN_LISTED.max(ranked.len().div_ceil(LISTED_DIVISOR));
+        let domains: HashSet<&str> =
+            ranked.iter().map(|(_, record)| record.domain.as_str()).collect();
+        let min_listed = MIN_LISTED.max(domains.len());
         let mut listed = Vec::new();
         let mut capacity = 0.0;
         for (name, record) in ranked {
--- a/crates/front/tests/roster.rs
+++ b/crates/front/tests/roster.rs
@@ -80,6 +80,25 @@
     assert_eq!(roster.addresses().len(), 6);
 }
 
+/// Guards against budgets that a large fleet splits into more shares than its load needs.
+///
+/// At one request in a few seconds, a share runs out of tokens early in an outage of the store.
+#[test]
+fn a_large_fleet_at_low_load_lists_one_instance_for_each_failure_domain() {
+    let roster = roster();
+    let domains = ["a", "b", "c", "d", "e"];
+    let names: Vec<(String, &str)> = (0..195)
+        .map(|index| (format!("{}{index}", domains[index % 5]), domains[index % 5]))
+        .collect();
+    let samples: Vec<Sample<'_>> =
+        names.iter().map(|(name, domain)| (name.as_str(), *domain, 1, 400.0, 2.0, false)).collect();
+    roster.update(&rows(&samples), Duration::from_secs(1));
+    let mut listed: Vec<String> =
+        roster.addresses().iter().map(|address| address[..1].to_owned()).collect();
+    listed.sort_unstable();
+    assert_eq!(listed, domains);
+}
+
 #[test]
 fn largest_instances_are_listed() {
     let roster = roster();
