--- a/crates/ledger/tests/escrow.rs
+++ b/crates/ledger/tests/escrow.rs
@@ -20,6 +20,8 @@
 const ACCOUNT: &str = "shop";
 const BUDGET: Tokens = 10_000;
 const MAX_SCAN_ROWS: usize = 100;
+/// Time from the store's answer to a read until a slow link has delivered it.
+const SLOW_READ_TIME: Duration = Duration::from_millis(1_500);
 
 /// Whether the store receives a call, and whether its answer arrives.
 #[derive(Debug, Clone, Copy)]
@@ -151,7 +153,10 @@
             (Step::Idle, _) | (Step::Read, Delivery::AnswerLost | Delivery::WriteLost) => {}
             (Step::Read, Delivery::Answered | Delivery::Delayed) => {
                 let rows = self.platform.range(&key_prefix(ACCOUNT), "", MAX_SCAN_ROWS);
-                node.share.handle_rows(&rows, now, now);
+                if matches!(delivery, Delivery::Delayed) {
+                    self.now += SLOW_READ_TIME;
+                }
+                node.share.handle_rows(&rows, self.now, self.now);
             }
             (Step::Write(txn), Delivery::Answered) => {
                 let result = self.platform.apply(&txn);
@@ -207,6 +212,21 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, ..ProptestConfig::default() })]
+
+    #[test]
+    fn spending_never_exceeds_the_budget_with_many_holders(
+        events in proptest::collection::vec(event(17), 300..900),
+    ) {
+        let mut world = World::open(17);
+        for event in &events {
+            world.apply(event);
+            prop_assert!(world.committed() <= BUDGET, "{} after {event:?}", world.committed());
+        }
+    }
+}
+
 /// Events without the death of an instance, since what it took after the copy is then unknown.
 fn event_with_restores(count: usize) -> impl Strategy<Value = Event> {
     prop_oneof![
