Run one call of a share at a time, also at a stop

A stop returned the free tokens of a share beside a write in flight. The answer to the first write was then taken for the second one's, so that for the time of a call the share could count tokens as its own that the store had taken back; and the start of the second call could count as that of the first, by which the end of a predecessor is bounded.

A lock of the account's entry now covers a run of steps, and a stop ends the pause after a conflict. The test a_stop_waits_for_the_call_in_flight fails before (two calls at once) and passes after.

--- a/crates/ledger/src/escrow/backlog.rs
+++ b/crates/ledger/src/escrow/backlog.rs
@@ -15,7 +15,7 @@
     pub bound: Tokens,
     /// Urgency of the request; 0 is the most urgent.
     pub rank: u8,
-    /// When the request has waited too long to wait on without the store.
+    /// Time after which the request no longer waits for a spend limit to grow.
     pub expires_at: Duration,
     /// Channel to the request.
     pub reply: R,
--- a/crates/ledger/src/escrow/driver.rs
+++ b/crates/ledger/src/escrow/driver.rs
@@ -8,7 +8,7 @@
 use slog::{Logger, debug, info, warn};
 use store::{Commit, Table, Txn};
 use thiserror::Error;
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Mutex, Notify, oneshot};
 use tokio::time::{sleep, timeout};
 
 use super::backlog::{Backlog, Waiter};
@@ -52,14 +52,16 @@
     Unreachable(Option<Duration>),
 }
 
-type Outcome = Result<Reservation, Fault>;
+type Reply = Result<Reservation, Fault>;
 
 #[derive(Debug)]
 struct Entry {
     account: AccountId,
     share: RefCell<Share>,
-    backlog: RefCell<Backlog<oneshot::Sender<Outcome>>>,
+    backlog: RefCell<Backlog<oneshot::Sender<Reply>>>,
     wake: Notify,
+    /// Held while steps run: a share has one call to the store in flight.
+    running: Mutex<()>,
 }
 
 /// Identity of an instance and the dependencies of its escrow.
@@ -250,8 +252,8 @@
         entry: &Rc<Entry>,
         ticket: u64,
         bound: Tokens,
-        mut result: oneshot::Receiver<Outcome>,
-    ) -> Outcome {
+        mut result: oneshot::Receiver<Reply>,
+    ) -> Reply {
         loop {
             self.admit_waiters(entry);
             if let Ok(result) = result.try_recv() {
@@ -298,6 +300,8 @@
         let entries: Vec<Rc<Entry>> = self.inner.entries.borrow().values().map(Rc::clone).collect();
         for entry in &entries {
             entry.share.borrow_mut().close();
+            // Ends a pause after a conflict.
+            entry.wake.notify_one();
         }
         let runs = entries.iter().map(|entry| self.run_steps(entry));
         if timeout(max_wait, futures::future::join_all(runs)).await.is_err() {
@@ -334,6 +338,7 @@
             share: RefCell::new(share),
             backlog: RefCell::default(),
             wake: Notify::new(),
+            running: Mutex::new(()),
         });
         self.inner.entries.borrow_mut().insert(Arc::clone(account), Rc::clone(&entry));
         let (escrow, own) = (self.clone(), Rc::clone(&entry));
@@ -366,6 +371,7 @@
 
     /// Runs the steps of one share and answers the requests that wait for it.
     async fn run_steps(&self, entry: &Rc<Entry>) {
+        let _running = entry.running.lock().await;
         let mut conflicts = 1;
         for _ in 0..MAX_STEPS_PER_RUN {
             self.admit_waiters(entry);
@@ -525,6 +531,6 @@
 }
 
 /// Returns true if the request of a reply still waits for it.
-fn is_waiting(reply: &oneshot::Sender<Outcome>) -> bool {
+fn is_waiting(reply: &oneshot::Sender<Reply>) -> bool {
     !reply.is_closed()
 }
--- a/crates/ledger/tests/escrow_load.rs
+++ b/crates/ledger/tests/escrow_load.rs
@@ -64,6 +64,8 @@
     is_contended: Cell<bool>,
     commits: Cell<usize>,
     conflicts: Cell<usize>,
+    calls_in_flight: Cell<usize>,
+    max_calls_in_flight: Cell<usize>,
 }
 
 impl Part {
@@ -77,9 +79,21 @@
             is_contended: Cell::new(false),
             commits: Cell::new(0),
             conflicts: Cell::new(0),
+            calls_in_flight: Cell::new(0),
+            max_calls_in_flight: Cell::new(0),
         })
     }
 
+    /// Runs a call, and counts those in flight.
+    async fn track<T>(&self, call: impl Future<Output = T>) -> T {
+        let in_flight = self.calls_in_flight.get() + 1;
+        self.calls_in_flight.set(in_flight);
+        self.max_calls_in_flight.set(self.max_calls_in_flight.get().max(in_flight));
+        let result = call.await;
+        self.calls_in_flight.set(self.calls_in_flight.get() - 1);
+        result
+    }
+
     async fn check_away(&self) -> Result<(), Error> {
         if self.is_away.get() {
             sleep(CALL_TIMEOUT).await;
@@ -95,16 +109,16 @@
     }
 
     fn scan(&self, prefix: String, after: String, limit: usize) -> Pending<'_, Vec<Row>> {
-        async move {
+        let read = async move {
             self.check_away().await?;
             sleep(READ_TIME).await;
             Ok(self.platform.range(&prefix, &after, limit))
-        }
-        .boxed_local()
+        };
+        self.track(read).boxed_local()
     }
 
     fn commit(&self, txn: Txn) -> Pending<'_, Commit> {
-        async move {
+        let write = async move {
             self.check_away().await?;
             let done_at = self.busy_until.get().max(Instant::now()) + TRANSACTION_TIME;
             self.busy_until.set(done_at);
@@ -121,8 +135,8 @@
                 self.conflicts.set(self.conflicts.get() + 1);
             }
             Ok(result)
-        }
-        .boxed_local()
+        };
+        self.track(write).boxed_local()
     }
 
     fn now(&self) -> Option<Duration> {
@@ -258,6 +272,27 @@
     });
 }
 
+/// Guards against a stop that writes a share while another write of it is in flight.
+///
+/// The answer to the first write then counted for the second one, so that the share could take
+/// tokens for its own that it had returned.
+#[test]
+fn a_stop_waits_for_the_call_in_flight() {
+    simulate(async {
+        let world = World::open_settled(1, 1_000_000).await;
+        world.part.max_calls_in_flight.set(0);
+        let escrow = world.escrows[0].clone();
+        let waiting = tokio::task::spawn_local(async move {
+            escrow.reserve(&ACCOUNT.into(), 700_000, 1, RESERVE_TIMEOUT).await
+        });
+        sleep(Duration::from_millis(2)).await;
+        world.escrows[0].close(Duration::from_secs(1)).await;
+        let reserved = waiting.await.expect("a request");
+        println!("reserved: {}", reserved.is_ok());
+        assert_eq!(world.part.max_calls_in_flight.get(), 1);
+    });
+}
+
 /// Guards against a request that waits while a renewal backs off after conflicts.
 ///
 /// Several instances start together and write the total of an account. The pauses after conflicts
