--- a/crates/rig/tests/route_engine.rs
+++ b/crates/rig/tests/route_engine.rs
@@ -80,7 +80,7 @@
 
 #[ntex::test]
 async fn token_interval_grows_with_the_batch() {
-    let token_interval = Duration::from_millis(5);
+    let token_interval = Duration::from_millis(20);
     let settings =
         Settings { slots: 8, token_interval, full_batch_slowdown: 3.0, ..Settings::default() };
     let bench = Bench::open(settings).await;
@@ -90,7 +90,8 @@
     let started = Instant::now();
     let body = request_body("tokens=20");
     futures::future::join_all((0..8).map(|_| bench.chat(&body))).await;
-    assert!(started.elapsed() > alone * 2);
+    let batch = started.elapsed();
+    assert!(batch > alone * 2, "alone {alone:?}, in the batch {batch:?}");
 }
 
 #[ntex::test]
