--- a/crates/front/src/metric.rs
+++ b/crates/front/src/metric.rs
@@ -41,6 +41,8 @@
     pub whole_answer_seconds: Family<AccountLabels, Histogram>,
     /// Calls and bytes on the links to other instances.
     pub peer: watch::peer::Counters,
+    /// Calls to the store and their bytes.
+    pub store: watch::store::Counters,
 }
 
 fn histogram() -> Histogram {
@@ -66,7 +68,9 @@
         );
         let peer = watch::peer::Counters::default();
         peer.register(&mut registry);
-        Self { registry, requests, first_byte_seconds, whole_answer_seconds, peer }
+        let store = watch::store::Counters::default();
+        store.register(&mut registry);
+        Self { registry, requests, first_byte_seconds, whole_answer_seconds, peer, store }
     }
 }
 
--- a/crates/ledger/src/escrow/driver.rs
+++ b/crates/ledger/src/escrow/driver.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use base::prelude::*;
+use rand::seq::SliceRandom;
 use slog::{Logger, debug, info, warn};
 use store::{Commit, Table, Txn};
 use thiserror::Error;
@@ -18,6 +19,10 @@
 
 /// Interval at which shares are checked for steps that no request triggers.
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
+/// Pause between two accounts whose rows an unlisted instance reads after its start.
+///
+/// It has to return what its previous start left unused, and needs no tokens of its own.
+const TAKE_OVER_PAUSE: Duration = Duration::from_millis(50);
 /// Most steps per run; the next run continues.
 ///
 /// It is reached if other instances keep changing the rows or many waiting requests are rejected.
@@ -83,6 +88,8 @@
     pub clock: Arc<dyn Clock>,
     /// When this start of the instance began, by [`Self::clock`].
     pub started_at: Duration,
+    /// Whether no earlier start of any instance can have left rows in the store.
+    pub is_first_start: bool,
     /// Other instances, which may lend tokens; `None` if they cannot be asked.
     pub peers: Option<Rc<dyn Peers>>,
     /// Logger for changes of budgets and shares, and for store outages.
@@ -102,6 +109,8 @@
     budgets: RefCell<HashMap<AccountId, Option<Tokens>>>,
     instance_count: Cell<u64>,
     is_listed: Cell<bool>,
+    /// Whether [`Escrow::take_over`] has been started.
+    has_taken_over: Cell<bool>,
     store_failed_at: Cell<Option<Duration>>,
 }
 
@@ -167,6 +176,7 @@
             budgets: RefCell::default(),
             instance_count: Cell::new(0),
             is_listed: Cell::new(true),
+            has_taken_over: Cell::new(false),
             store_failed_at: Cell::new(None),
         };
         let escrow = Self { inner: Rc::new(inner) };
@@ -181,11 +191,43 @@
     pub fn configure(&self, budgets: HashMap<AccountId, Option<Tokens>>) {
         self.log_changes(&budgets);
         *self.inner.budgets.borrow_mut() = budgets;
+        self.configure_shares();
+        self.open_shares();
+        for entry in self.inner.entries.borrow().values() {
+            entry.wake.notify_one();
+        }
+    }
+
+    /// Opens shares before requests need them.
+    ///
+    /// A listed instance takes tokens of all accounts. Another one only takes over what its previous
+    /// start has left, without haste.
+    fn open_shares(&self) {
+        if self.inner.instance_count.get() == 0 {
+            return;
+        }
         let accounts: Vec<AccountId> = self.inner.budgets.borrow().keys().map(Arc::clone).collect();
+        if self.inner.is_listed.get() {
+            for account in accounts {
+                if !self.inner.entries.borrow().contains_key(&account) {
+                    self.entry(&account).wake.notify_one();
+                }
+            }
+        } else if !self.inner.context.is_first_start && !self.inner.has_taken_over.replace(true) {
+            let escrow = self.clone();
+            ntex::rt::spawn(async move { escrow.take_over(accounts).await });
+        }
+    }
+
+    /// Reads the rows of these accounts one after another, in random order.
+    async fn take_over(&self, mut accounts: Vec<AccountId>) {
+        accounts.shuffle(&mut rand::rng());
         for account in accounts {
-            self.entry(&account).wake.notify_one();
+            if !self.inner.entries.borrow().contains_key(&account) {
+                self.entry(&account).wake.notify_one();
+                sleep(TAKE_OVER_PAUSE).await;
+            }
         }
-        self.configure_shares();
     }
 
     fn log_changes(&self, budgets: &HashMap<AccountId, Option<Tokens>>) {
@@ -204,6 +246,7 @@
         self.inner.instance_count.set(instance_count);
         self.inner.is_listed.set(is_listed);
         self.configure_shares();
+        self.open_shares();
     }
 
     fn configure_shares(&self) {
@@ -433,6 +476,8 @@
     }
 
     async fn poll_shares(&self) {
+        // Instances that start together check their shares at different times.
+        sleep(POLL_INTERVAL.mul_f64(rand::random())).await;
         loop {
             sleep(POLL_INTERVAL).await;
             let now = self.inner.context.clock.now();
--- a/crates/ledger/src/escrow/share.rs
+++ b/crates/ledger/src/escrow/share.rs
@@ -4,6 +4,7 @@
 mod size;
 
 use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 
 use base::clock::millis;
 use base::prelude::*;
@@ -42,6 +43,10 @@
 /// Instances that start together know the listed ones after two or three heartbeats. Those that
 /// are not listed would take tokens, and would return them in conflict with each other.
 const FIRST_TAKE_DELAY: Duration = Duration::from_secs(5);
+/// Range over which the holders of an account spread their first tokens without a request.
+const FIRST_TAKE_SPREAD: Duration = Duration::from_millis(2_500);
+/// Age of the known total up to which a write of it rarely conflicts.
+const FRESH_TOTAL_AGE: Duration = Duration::from_millis(100);
 /// Age above which the known rows of other holders are too old for a rejection.
 const MAX_READ_AGE: Duration = Duration::from_millis(1_500);
 
@@ -137,6 +142,8 @@
     last_store_now: Duration,
     /// When the account's rows were last read; `None` if they must be read again.
     rows_read_at: Option<Duration>,
+    /// When the total was last known to be in the store as it is known here.
+    total_known_at: Duration,
     row_written_at: Duration,
     /// When the share may take tokens that no request waits for.
     takes_idle_from: Duration,
@@ -195,6 +202,7 @@
             others_lost: 0,
             last_store_now: Duration::ZERO,
             rows_read_at: None,
+            total_known_at: Duration::ZERO,
             row_written_at: Duration::ZERO,
             takes_idle_from: Duration::ZERO,
             scheduled_retries: Vec::new(),
@@ -500,6 +508,11 @@
             self.latency.start_call(now);
             return Step::Read;
         }
+        if self.returns_all(now) && !self.may_resize(now) {
+            // The total may have changed since it was read, and the write would conflict.
+            self.latency.start_call(now);
+            return Step::Read;
+        }
         // No row can be written without the store's time, which every answer carries.
         let Some(store_now) = store_now else { return Step::Read };
         self.last_store_now = store_now;
@@ -520,7 +533,7 @@
         let skips_total = self.has_conflict && is_limit_near && self.free() >= self.demand;
         let granted = match self.lost_grant {
             Some(lost) => lost.max(self.committed()),
-            None if skips_total => self.stored.granted,
+            None if skips_total || !self.may_resize(now) => self.stored.granted,
             None if self.is_fenced(store_now) => self.target_granted(now).min(self.stored.granted),
             None => self.target_granted(now),
         };
@@ -563,6 +576,24 @@
         Some(Draft { grant, total, era: must_write_era.then_some(era) })
     }
 
+    /// Returns true if the share may take or return tokens now.
+    ///
+    /// Each write of the total makes the revision that other holders know out of date. Without need,
+    /// a share therefore changes its size only just after it has read the total.
+    fn may_resize(&self, now: Duration) -> bool {
+        self.demand > 0
+            || self.status == Status::Closing
+            || now.saturating_sub(self.total_known_at) <= FRESH_TOTAL_AGE
+            || self.needs_refill(now)
+    }
+
+    /// Returns true if the share should hold no free tokens, and holds enough to return them.
+    fn returns_all(&self, now: Duration) -> bool {
+        self.owns_row
+            && self.target_free(now) == 0
+            && self.target_granted(now) < self.stored.granted
+    }
+
     /// Returns the era row after a write that changes the size of the share to `granted`.
     fn draft_era(&self, granted: Tokens, now_ms: u64) -> Era {
         let mut era = if self.era_row_revision == 0 || self.starts_era() {
@@ -641,6 +672,10 @@
             }
             Commit::Conflict(rows) => {
                 self.has_conflict = true;
+                let total_key = row::total_key(&self.account);
+                if txn.checks.iter().any(|check| check.key == total_key) {
+                    self.total_known_at = now;
+                }
                 for check in &txn.checks {
                     match rows.iter().find(|row| row.key == check.key) {
                         Some(row) => self.record_row(row),
@@ -697,7 +732,7 @@
         if self.stored_revision == 0
             && let Some(started_at) = self.started_at
         {
-            self.takes_idle_from = started_at + FIRST_TAKE_DELAY;
+            self.takes_idle_from = started_at + FIRST_TAKE_DELAY + self.first_take_spread();
         }
         if self.stored_revision > 0 && self.stored.incarnation != self.incarnation {
             if !self.owns_row {
@@ -707,6 +742,15 @@
             }
         }
         self.rows_read_at = Some(now);
+        self.total_known_at = now;
+    }
+
+    /// Returns a part of [`FIRST_TAKE_SPREAD`] that differs between holders and accounts.
+    fn first_take_spread(&self) -> Duration {
+        let mut hasher = DefaultHasher::new();
+        (&self.account, &self.holder).hash(&mut hasher);
+        let fraction = f64::from(u32::try_from(hasher.finish() >> 32).unwrap_or_default());
+        FIRST_TAKE_SPREAD.mul_f64(fraction / f64::from(u32::MAX))
     }
 
     /// Returns the tokens that a holder may have taken in rows that a restore has lost.
@@ -832,7 +876,10 @@
             return false;
         }
         let is_in_use = self.free() > 0 || self.is_active;
-        let returns_tokens = self.owns_row && self.target_granted(now) < self.stored.granted;
+        // A read lets the share change its size.
+        let can_resize = self.may_resize(now) || self.is_read_due(now);
+        let returns_tokens = self.returns_all(now)
+            || (can_resize && self.owns_row && self.target_granted(now) < self.stored.granted);
         let takes_first_tokens = self.stored_revision == 0
             && now >= self.takes_idle_from
             && !self.takes_idle_from.is_zero()
--- a/crates/ledger/src/escrow/share/size.rs
+++ b/crates/ledger/src/escrow/share/size.rs
@@ -21,6 +21,9 @@
 const IDLE_RETURN_AFTER: Duration = Duration::from_millis(800);
 /// Fraction of its target below which a share is refilled.
 const REFILL_BELOW: f64 = 0.7;
+/// Fraction of its target below which a share is refilled although another holder may have written
+/// the total.
+const REFILL_AT_ONCE_BELOW: f64 = 0.35;
 /// Multiple of its target above which a share returns the excess.
 const RETURN_ABOVE: f64 = 1.4;
 /// Fair share, in mean requests, below which the share keeps no free tokens.
@@ -97,6 +100,11 @@
         if self.status == Status::Closing || is_scarce { 0 } else { fair }
     }
 
+    /// Returns true if the share should take tokens before the next regular read.
+    pub(super) fn needs_refill(&self, now: Duration) -> bool {
+        self.free() < fraction_of(self.target_free(now), REFILL_AT_ONCE_BELOW)
+    }
+
     /// Returns how many tokens the share should have, including the used ones.
     pub(super) fn target_granted(&self, now: Duration) -> Tokens {
         let target = self.target_free(now);
--- a/crates/ledger/tests/escrow.rs
+++ b/crates/ledger/tests/escrow.rs
@@ -514,6 +514,7 @@
         incarnation: 1,
         clock: Arc::new(System::open()),
         started_at: Duration::ZERO,
+        is_first_start: false,
         peers: None,
         log: Logger::root(Discard, o!()),
     });
--- a/crates/ledger/tests/escrow_load.rs
+++ b/crates/ledger/tests/escrow_load.rs
@@ -199,6 +199,11 @@
 
 impl World {
     async fn open(instances: usize, budget: Tokens) -> Self {
+        Self::open_at_intervals(instances, budget, START_GAP).await
+    }
+
+    /// Opens instances that start one after another, with pauses of `gap`.
+    async fn open_at_intervals(instances: usize, budget: Tokens, gap: Duration) -> Self {
         let part = Part::open();
         let clock: Arc<dyn Clock> = Arc::new(SimulatedClock(Instant::now()));
         let mut escrows = Vec::new();
@@ -210,6 +215,7 @@
                 incarnation: 1 + index as u64,
                 clock: Arc::clone(&clock),
                 started_at: Duration::ZERO,
+                is_first_start: false,
                 peers: Some(Rc::clone(&links) as Rc<dyn Peers>),
                 log: Logger::root(Discard, o!()),
             });
@@ -217,7 +223,7 @@
             escrow.configure([(ACCOUNT.into(), Some(budget))].into());
             links.escrows.borrow_mut().insert(format!("node-{index}").into(), escrow.clone());
             escrows.push(escrow);
-            sleep(START_GAP).await;
+            sleep(gap).await;
         }
         sleep(Duration::from_secs(1)).await;
         Self { part, escrows, links, tally: Rc::default() }
@@ -470,3 +476,39 @@
         assert!(tally.spent >= BUDGET / 1_000 * 995, "{} of {BUDGET} spent", tally.spent);
     });
 }
+
+/// Guards against holders that collide on the total of an account whose callers move about.
+///
+/// Each knew the total only as of its last read or write, and another holder had mostly written it
+/// since.
+#[test]
+fn holders_rarely_collide_while_callers_change_instances() {
+    simulate(async {
+        let world = World::open_settled(5, 8_000_000).await;
+        let gap = Duration::from_millis(150);
+        world.send(100, gap, |number| (mixed_bound(number), 1)).await;
+        world.part.commits.set(0);
+        world.part.conflicts.set(0);
+        // Two thirds of the requests use one instance, which changes every two seconds.
+        let instance =
+            |number: usize| if number.is_multiple_of(3) { number % 5 } else { number / 40 % 5 };
+        world.send_to(600, gap, |number| (mixed_bound(number), 1), instance).await;
+        let (writes, conflicts) = (world.part.commits.get(), world.part.conflicts.get());
+        println!("{conflicts} of {writes} writes in conflict");
+        assert_eq!(world.tally.borrow().refusals.len(), 0);
+        assert!(conflicts * 100 <= writes * 5, "{conflicts} of {writes} writes in conflict");
+    });
+}
+
+/// Guards against holders that take their first shares of an account at the same moment.
+#[test]
+fn holders_that_start_at_the_same_moment_rarely_collide() {
+    simulate(async {
+        let world = World::open_at_intervals(8, 12_000_000, Duration::ZERO).await;
+        sleep(Duration::from_secs(9)).await;
+        let (writes, conflicts) = (world.part.commits.get(), world.part.conflicts.get());
+        println!("{conflicts} of {writes} writes in conflict");
+        assert!(writes >= 8, "all take shares");
+        assert!(conflicts <= 2, "{conflicts} of {writes} writes in conflict");
+    });
+}
--- a/crates/watch/src/lib.rs
+++ b/crates/watch/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod logging;
 pub mod metric;
 pub mod peer;
+pub mod store;
 
 pub use crate::metric::Metrics;
