Let only listed instances and the next ones keep a row that all read

Cause: each instance wrote a row every 2 s and read those of all. Change: roster::candidate decides which instances keep a row; the others read these rows, join when they would come before enough of them, and are counted once in 20 s. Rows of instances that are gone for good are removed. The stand-in of the table in the tests now applies checks and deletions; it had refused deletions with a panic, as there were none.

Found on the way by the test with half of the instances off: the short pause of a joining instance ended its probes (6.4 s, bound 6 s); it now lasts as long as both rounds.

--- a/crates/front/src/roster.rs
+++ b/crates/front/src/roster.rs
@@ -1,11 +1,14 @@
 //! The instances that share the load, and the addresses that callers receive.
 //!
-//! Each instance writes a row at a regular interval and reads the rows of all. A listed instance
+//! Instances write a row at a regular interval and read the rows of all others. A listed instance
 //! whose row has not changed between two reads is probed directly; without an answer it counts as
 //! dead. A row that does not change for several intervals is stale, whatever the probe says, since
 //! its instance has lost the store. Rows do not age during an outage of the store, so an outage
 //! makes no instance seem dead; the listed instances are probed meanwhile.
 //!
+//! In a large fleet only some instances keep a row, those that are listed or would be next
+//! ([`candidate`]). The others write a row once a minute, which is only counted.
+//!
 //! Callers receive the addresses of the listed instances: as few as carry the load with headroom.
 //! All instances derive the same order. The largest come first, since all requests of a large
 //! account may go to one of them; equally large ones alternate between the failure domains. With
@@ -13,6 +16,7 @@
 //! its end, and in an outage of the store, when each share lasts the longer the more requests it
 //! serves.
 
+pub mod candidate;
 pub mod member;
 pub mod probe;
 
@@ -28,20 +32,35 @@
 use route::prefix;
 use serde::{Deserialize, Serialize};
 use slog::{Logger, info, warn};
-use store::{Row, Table, Txn};
+use store::{Commit, Row, Table, Txn};
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
+use self::candidate::{Position, Role};
 use self::member::Member;
 use self::probe::Probe;
 
 /// Prefix of the keys of the rows; the name of the instance follows it.
 const MEMBER: &str = "member/";
+/// Prefix of the keys of the rows of instances that keep none of the former kind.
+///
+/// They are written rarely, and only counted.
+const STANDBY: &str = "standby/";
+/// Interval at which an instance without a row among the candidates shows that it exists.
+const STANDBY_INTERVAL: Duration = Duration::from_mins(1);
+/// Age above which a standby row is not counted, and is removed.
+const STANDBY_EXPIRY: Duration = Duration::from_secs(150);
+/// Interval at which the first listed instance counts the standby rows.
+const STANDBY_COUNT_INTERVAL: Duration = Duration::from_secs(20);
+/// Silence after which the first listed instance removes a row.
+const REMOVE_AFTER: Duration = Duration::from_secs(30);
+/// Most rows that one transaction removes.
+const MAX_REMOVED_ROWS: usize = 20;
 /// Part of a limit that an upstream states, for all listed instances together.
 const LISTED_FRACTION: f64 = 0.7;
 /// Part of such a limit for all other instances together; callers with old addresses use them.
 const UNLISTED_FRACTION: f64 = 0.2;
-/// Interval at which an instance writes its row and reads all rows.
+/// Interval at which an instance reads all rows, and writes its own if it keeps one.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(2_020);
 /// Time of a heartbeat after which the listed instances are probed as without the store.
 const HEARTBEAT_PATIENCE: Duration = Duration::from_millis(500);
@@ -51,6 +70,8 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Wait for answers of listed instances after which others are probed, too.
 const PROBE_PATIENCE: Duration = Duration::from_millis(300);
+/// Shortest pause before an instance joins; leaves time for both rounds of probes.
+const MIN_JOIN_PAUSE: Duration = Duration::from_millis(1_600);
 /// Most instances that are probed besides the listed ones.
 const MAX_FURTHER_PROBES: usize = 64;
 /// Fewest listed instances, so that the loss of one affects few callers.
@@ -71,6 +92,8 @@
 const RATE_SAMPLE_WEIGHT: f64 = 0.4;
 /// Most rows in one read.
 const MAX_ROWS: usize = 500;
+/// Most standby rows that are counted.
+const MAX_STANDBY_ROWS: usize = 5_000;
 /// Longest wait for the heartbeat that writes the row of a leaving instance.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -106,6 +129,16 @@
     rate: f64,
     /// Value of [`Identity::capacity_per_s`].
     capacity: f64,
+    /// Number of instances without such a row, as the first listed instance has counted them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    standbys: Option<u64>,
+}
+
+/// Content of a standby row.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct StandbyRecord {
+    /// Time of the write by the clock of the store, in milliseconds.
+    written_ms: u64,
 }
 
 /// An instance that may be dead.
@@ -147,6 +180,11 @@
     /// Names of the listed instances; empty until rows have been read.
     listed: RefCell<Vec<String>>,
     leaving: Cell<bool>,
+    role: Cell<Role>,
+    /// When the standby row was last written; `None` if there is none.
+    standby_written_at: Cell<Option<Duration>>,
+    /// Number of standby rows as counted by this instance, and when.
+    standbys: Cell<Option<(u64, Duration)>>,
     /// Starts the next heartbeat before the interval ends.
     heartbeat_now: Notify,
 }
@@ -170,6 +208,9 @@
             measured_at: Cell::default(),
             listed: RefCell::default(),
             leaving: Cell::new(false),
+            role: Cell::default(),
+            standby_written_at: Cell::default(),
+            standbys: Cell::default(),
             heartbeat_now: Notify::new(),
         }
     }
@@ -231,16 +272,25 @@
     /// live instances, so that its part is smaller.
     #[must_use]
     pub fn sharing_instances(&self) -> u64 {
+        if self.is_listed() { self.listed_count().max(1) } else { self.alive_count().max(1) }
+    }
+
+    /// Returns the number of live instances, with or without a row among the candidates.
+    fn alive_count(&self) -> u64 {
         let members = self.members.borrow();
-        let alive = members.values().filter(|member| self.is_alive(member)).count() as u64;
-        if self.is_listed() { self.listed_count().max(1) } else { alive.max(1) }
+        let alive = members.values().filter(|member| self.is_alive(member));
+        let (mut count, mut standbys) = (0, 0);
+        for member in alive {
+            count += 1;
+            standbys = standbys.max(member.record.standbys.unwrap_or_default());
+        }
+        count + standbys
     }
 
     /// Returns the part of a limit for all instances that this one may use, 0 to 1.
     #[must_use]
     pub fn limit_share(&self) -> f64 {
-        let members = self.members.borrow();
-        let alive = members.values().filter(|member| self.is_alive(member)).count() as u64;
+        let alive = self.alive_count();
         let listed = self.listed_count();
         let to_f64 = |count: u64| f64::from(u32::try_from(count.max(1)).unwrap_or(u32::MAX));
         if self.is_listed() {
@@ -376,7 +426,9 @@
             self.log_changes(&log);
             // A planned stop ends the wait, so that the row marks the instance as leaving at once.
             let elapsed = clock.now().saturating_sub(started_at);
-            let pause = HEARTBEAT_INTERVAL.saturating_sub(elapsed).max(MIN_HEARTBEAT_PAUSE);
+            let usual = HEARTBEAT_INTERVAL.saturating_sub(elapsed).max(MIN_HEARTBEAT_PAUSE);
+            let pause =
+                self.role.get().pause(self.min_join_pause(), rand::random()).unwrap_or(usual);
             let next = timeout(pause, self.heartbeat_now.notified());
             let probing = self.probe_suspects(is_down, &*clock, &log);
             tokio::select! {
@@ -386,6 +438,14 @@
         }
     }
 
+    /// Returns the shortest pause of an instance that wants to join.
+    ///
+    /// The next heartbeat ends the probes, so that they need time unless there is none to probe.
+    fn min_join_pause(&self) -> Duration {
+        let is_alone = self.members.borrow().is_empty();
+        if is_alone { Duration::ZERO } else { MIN_JOIN_PAUSE }
+    }
+
     /// Probes the listed instances that may be dead, and selects others in place of those that are.
     ///
     /// The others must not be dead either. They are probed too unless the listed ones answer fast.
@@ -480,24 +540,164 @@
     async fn heartbeat(&self, table: &dyn Table, clock: &dyn Clock) -> Result<(), store::Error> {
         self.heartbeats.set(self.heartbeats.get() + 1);
         self.measure_rate(clock.now());
-        let record = Record {
+        if self.role.get() == Role::Candidate {
+            self.write_row(table).await?;
+        }
+        let rows = table.scan(MEMBER.to_owned(), String::new(), MAX_ROWS).await?;
+        self.enter_era(table.era());
+        self.set_store_time(table.now());
+        self.update(&rows, clock.now());
+        let found_row = self.members.borrow().contains_key(&*self.identity.instance);
+        let last = self.role.get();
+        let role = last.after_read(found_row, self.keeps_row());
+        self.role.set(role);
+        match role {
+            Role::Candidate if last != Role::Candidate => self.write_row(table).await?,
+            Role::Candidate if self.is_first_listed() => {
+                self.remove_silent_rows(table).await?;
+                self.count_standbys(table, clock.now()).await?;
+            }
+            Role::Standby if found_row || self.is_standby_row_due(clock.now()) => {
+                self.write_standby_row(table, clock.now()).await?;
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    /// Returns true if this instance should keep a row among the candidates.
+    fn keeps_row(&self) -> bool {
+        let members = self.members.borrow();
+        let own = self.record(None);
+        let mut candidates: Vec<(&String, &Record)> = members
+            .iter()
+            .filter(|(name, member)| {
+                ***name != *self.identity.instance
+                    && self.is_alive(member)
+                    && !member.record.leaving
+            })
+            .map(|(name, member)| (name, &member.record))
+            .collect();
+        let own_name = self.identity.instance.to_string();
+        candidates.push((&own_name, &own));
+        let ranked = rank_members(candidates);
+        let before = ranked.iter().take_while(|(name, _)| ***name != *own_name);
+        let mut position = Position { overall: 0, in_domain: 0 };
+        for (_, record) in before {
+            position.overall += 1;
+            position.in_domain += usize::from(record.domain == *self.identity.domain);
+        }
+        position.keeps_row(self.listed.borrow().len(), self.role.get() == Role::Candidate)
+    }
+
+    fn record(&self, store_now: Option<Duration>) -> Record {
+        Record {
             address: self.identity.address.clone(),
             probe_port: Some(self.identity.probe_port),
             domain: self.identity.domain.to_string(),
             beat: self.heartbeats.get(),
-            written_ms: table.now().map(millis),
+            written_ms: store_now.map(millis),
             leaving: self.leaving.get(),
             // Further digits would only lengthen the rows that all instances read.
             rate: (self.requests_per_second.get() * 100.0).round() / 100.0,
             capacity: self.identity.capacity_per_s,
-        };
+            standbys: self.standbys.get().map(|(count, _)| count),
+        }
+    }
+
+    /// Writes the row of a candidate, in place of a standby row.
+    async fn write_row(&self, table: &dyn Table) -> Result<(), store::Error> {
+        let record = self.record(table.now());
         let mut txn = Txn::default();
         txn.put(format!("{MEMBER}{}", self.identity.instance), &record);
+        if self.standby_written_at.take().is_some() {
+            txn.delete(format!("{STANDBY}{}", self.identity.instance));
+        }
+        if let Commit::Applied(revision) = table.commit(txn).await? {
+            let now = self.observed_time.get();
+            let mut members = self.members.borrow_mut();
+            members
+                .entry(self.identity.instance.to_string())
+                .and_modify(|known| known.renew(record.clone(), revision, now, None))
+                .or_insert_with(|| Member::open(record, revision, now, Some(Duration::ZERO)));
+            drop(members);
+            *self.listed.borrow_mut() = self.select_listed();
+        }
+        Ok(())
+    }
+
+    /// Returns true if the standby row has to be written again.
+    fn is_standby_row_due(&self, now: Duration) -> bool {
+        let written_at = self.standby_written_at.get();
+        written_at.is_none_or(|at| now.saturating_sub(at) >= STANDBY_INTERVAL)
+    }
+
+    /// Writes the standby row, in place of a row among the candidates.
+    async fn write_standby_row(
+        &self,
+        table: &dyn Table,
+        now: Duration,
+    ) -> Result<(), store::Error> {
+        let mut txn = Txn::default();
+        let record = StandbyRecord { written_ms: table.now().map_or(0, millis) };
+        txn.put(format!("{STANDBY}{}", self.identity.instance), &record);
+        txn.delete(format!("{MEMBER}{}", self.identity.instance));
         table.commit(txn).await?;
-        let rows = table.scan(MEMBER.to_owned(), String::new(), MAX_ROWS).await?;
-        self.enter_era(table.era());
-        self.set_store_time(table.now());
-        self.update(&rows, clock.now());
+        self.standby_written_at.set(Some(now));
+        self.standbys.set(None);
+        self.members.borrow_mut().remove(&*self.identity.instance);
+        Ok(())
+    }
+
+    /// Returns true if this instance comes first of the listed ones.
+    fn is_first_listed(&self) -> bool {
+        self.listed.borrow().first().is_some_and(|name| **name == *self.identity.instance)
+    }
+
+    /// Removes rows of candidates that have been silent for long.
+    ///
+    /// An instance that comes back meanwhile has changed its row, and the removal fails.
+    async fn remove_silent_rows(&self, table: &dyn Table) -> Result<(), store::Error> {
+        let mut txn = Txn::default();
+        let now = self.observed_time.get();
+        for (name, member) in &*self.members.borrow() {
+            if member.silence(now) >= REMOVE_AFTER && txn.writes.len() < MAX_REMOVED_ROWS {
+                txn.check(format!("{MEMBER}{name}"), member.revision);
+                txn.delete(format!("{MEMBER}{name}"));
+            }
+        }
+        if !txn.writes.is_empty() {
+            table.commit(txn).await?;
+        }
+        Ok(())
+    }
+
+    /// Counts the standby rows at times, and removes those that are too old.
+    async fn count_standbys(&self, table: &dyn Table, now: Duration) -> Result<(), store::Error> {
+        let counted_at = self.standbys.get().map(|(_, at)| at);
+        let is_recent =
+            counted_at.is_some_and(|at| now.saturating_sub(at) < STANDBY_COUNT_INTERVAL);
+        // While there are fewer candidates than wanted, each instance becomes one.
+        if is_recent || self.members.borrow().len() < candidate::MIN_CANDIDATES {
+            return Ok(());
+        }
+        let rows = table.scan(STANDBY.to_owned(), String::new(), MAX_STANDBY_ROWS).await?;
+        let oldest = table.now().map_or(0, millis).saturating_sub(millis(STANDBY_EXPIRY));
+        let is_expired = |row: &Row| {
+            let record = StandbyRecord::deserialize(&row.value);
+            record.is_ok_and(|record| record.written_ms < oldest)
+        };
+        let expired: Vec<&Row> = rows.iter().filter(|row| is_expired(row)).collect();
+        let count = rows.len() - expired.len();
+        self.standbys.set(Some((count as u64, now)));
+        let mut txn = Txn::default();
+        for row in expired.iter().take(MAX_REMOVED_ROWS) {
+            txn.check(row.key.clone(), row.revision);
+            txn.delete(row.key.clone());
+        }
+        if !txn.writes.is_empty() {
+            table.commit(txn).await?;
+        }
         Ok(())
     }
 
--- a/crates/front/tests/fleet/mod.rs
+++ b/crates/front/tests/fleet/mod.rs
@@ -13,7 +13,7 @@
 use futures::FutureExt;
 use futures::future::LocalBoxFuture;
 use slog::{Discard, Logger, o};
-use store::{Commit, Error, Pending, Row, Table, Txn};
+use store::{Check, Commit, Error, Pending, Row, Table, Txn};
 use tokio::task::{JoinHandle, LocalSet};
 use tokio::time::{Instant, sleep};
 
@@ -143,10 +143,21 @@
         let write = move |store: &Store| {
             let revision = store.revision.get() + 1;
             store.revision.set(revision);
+            let mut rows = store.rows.borrow_mut();
+            let is_current = |check: &Check| {
+                check.revision == rows.get(&check.key).map_or(0, |row| row.revision)
+            };
+            if !txn.checks.iter().all(is_current) {
+                return Commit::Conflict(Vec::new());
+            }
             for write in txn.writes {
-                let value = write.value.expect("a roster deletes no row");
-                let row = Row { key: write.key.clone(), revision, value };
-                store.rows.borrow_mut().insert(write.key, row);
+                match write.value {
+                    Some(value) => {
+                        let row = Row { key: write.key.clone(), revision, value };
+                        rows.insert(write.key, row);
+                    }
+                    None => drop(rows.remove(&write.key)),
+                }
             }
             Commit::Applied(revision)
         };
@@ -316,6 +327,13 @@
         listed.expect("a listed instance")
     }
 
+    /// Returns the instances that keep a row among the candidates.
+    pub fn candidates(&self) -> Vec<usize> {
+        let rows = self.store.rows.borrow();
+        let names = rows.keys().filter_map(|key| key.strip_prefix("member/instance-"));
+        names.filter_map(|number| number.parse().ok()).collect()
+    }
+
     /// Returns the addresses that callers of an instance receive.
     pub fn addresses(&self, index: usize) -> Vec<String> {
         self.instances[index].roster.borrow().addresses()
--- a/crates/front/tests/roster.rs
+++ b/crates/front/tests/roster.rs
@@ -173,3 +173,26 @@
     assert!(addresses.contains(&"young:1".to_owned()), "{addresses:?}");
     assert!(!addresses.contains(&"dead:1".to_owned()), "{addresses:?}");
 }
+
+/// Guards against unlisted instances that together take more than their part of a common limit.
+///
+/// Most of them keep no row, and only their number is known.
+#[test]
+fn instances_without_a_row_count_for_common_limits() {
+    let roster = roster();
+    let mut all = six_rows(1, 5.0);
+    all.remove(0);
+    let before = roster_share(&roster, &all);
+    all[2].value["standbys"] = json!(179);
+    let after = roster_share(&roster, &all);
+    assert_eq!(before, (5, 0.2));
+    assert_eq!(after.0, 184);
+    assert!((after.1 - 0.2 / 180.0).abs() < 1e-9, "{after:?}");
+}
+
+/// Returns how many instances share the limits, and the part of the own one, which is not listed.
+fn roster_share(roster: &Roster, rows: &[Row]) -> (u64, f64) {
+    roster.update(rows, Duration::from_secs(1));
+    assert!(!roster.is_listed());
+    (roster.sharing_instances(), roster.limit_share())
+}
--- a/crates/front/tests/roster_failures.rs
+++ b/crates/front/tests/roster_failures.rs
@@ -213,3 +213,74 @@
     println!("{count} instances: {} bytes read a second and instance", bytes / instance_seconds);
     assert!(calls <= instance_seconds, "{calls} calls");
 }
+
+/// Most bytes of rows that an instance reads a second, as the target for all control traffic.
+const MAX_BYTES_A_SECOND: u64 = 5_000;
+
+/// Guards against traffic with the store that grows with the square of the fleet.
+///
+/// Each instance read the rows of all others every two seconds.
+#[test_case(8; "at_8_instances")]
+#[test_case(70; "at_70_instances")]
+#[test_case(195; "at_195_instances")]
+#[test_case(360; "at_360_instances")]
+#[test_case(1_000; "at_1000_instances")]
+fn an_instance_reads_no_more_in_a_larger_fleet(count: usize) {
+    const SECONDS: u64 = 30;
+    let measure = async {
+        let fleet = Fleet::spawn(count, 1);
+        fleet.run(WARM_UP).await;
+        let start = fleet.store_load();
+        fleet.run(Duration::from_secs(SECONDS)).await;
+        let end = fleet.store_load();
+        (start, (end.0 - start.0, end.1 - start.1), fleet.candidates().len())
+    };
+    let (start, (calls, bytes), candidates) = fleet::simulate(measure);
+    let instance_seconds = SECONDS * count as u64;
+    let start_bytes = start.1 / count as u64;
+    println!(
+        "{count} instances: {candidates} candidates; a second and instance {} bytes, {:.2} calls; \
+         {start_bytes} bytes each in the first 8 s",
+        bytes / instance_seconds,
+        f64::from(u32::try_from(calls).expect("few"))
+            / f64::from(u32::try_from(instance_seconds).expect("few"))
+    );
+    assert!(bytes / instance_seconds <= MAX_BYTES_A_SECOND, "{}", bytes / instance_seconds);
+    assert!(candidates >= count.min(16), "{candidates} candidates");
+}
+
+/// Guards against callers without addresses when all instances that keep a row go off at once.
+#[test_case(70; "at_70_instances")]
+#[test_case(360; "at_360_instances")]
+fn other_instances_take_the_place_of_candidates_that_are_all_off(count: usize) {
+    for seed in 1..4 {
+        let replace = async {
+            let fleet = Fleet::spawn(count, seed);
+            fleet.run(WARM_UP).await;
+            let off = fleet.candidates();
+            assert!(off.len() < count, "some instances keep no row");
+            for index in &off {
+                fleet.power_off(*index);
+            }
+            fleet.run(MAX_DEPARTURE).await;
+            let off_addresses: Vec<String> =
+                off.iter().map(|index| fleet::address(*index)).collect();
+            let on: Vec<usize> = (0..count).filter(|index| !off.contains(index)).collect();
+            for index in &on {
+                let addresses = fleet.addresses(*index);
+                assert!(!addresses.iter().any(|one| off_addresses.contains(one)), "{addresses:?}");
+            }
+            fleet.run(Duration::from_secs(4)).await;
+            for index in &on {
+                let addresses = fleet.addresses(*index);
+                assert!(addresses.len() >= 4, "{} at {index}", addresses.len());
+            }
+            // The rows of the instances that are gone are removed.
+            fleet.run(Duration::from_secs(40)).await;
+            let left: Vec<usize> =
+                fleet.candidates().into_iter().filter(|index| off.contains(index)).collect();
+            assert!(left.is_empty(), "rows of {left:?}");
+        };
+        fleet::simulate(replace);
+    }
+}
