Read only changed rows of engines and crash records, also after an outage

Callers saw nothing of it; the users pay the bytes and calls.

Cause: after each failed call an instance read all entries of engines and the whole configuration row again, once per retry; a change of one crash record made each instance read all of them, and after a failed call the position of their feed was lost, so that each retry was a read.

Change: a feed continues at its position after an outage, with calls that are answered at once; Table::wait_change returns the changed rows; a page of entries is applied at once, so that the index of services is built once and over 100 changes are one log line.

--- a/crates/front/src/fleet.rs
+++ b/crates/front/src/fleet.rs
@@ -117,15 +117,21 @@
 
     /// Applies one change; returns true if it changed the fleet.
     pub fn apply(&self, change: &Change) -> bool {
-        let changed = match change {
+        !self.apply_all(std::slice::from_ref(change)).is_empty()
+    }
+
+    /// Applies several changes at once, and returns those that changed the fleet.
+    pub fn apply_all<'a>(&self, changes: &'a [Change]) -> Vec<&'a Change> {
+        let has_effect = |change: &&Change| match change {
             Change::Listed(entry) => self.upsert(entry),
             Change::Gone(id) => self.remove(id),
         };
-        if changed {
+        let effective: Vec<&Change> = changes.iter().filter(has_effect).collect();
+        if !effective.is_empty() {
             self.version.set(self.version.get() + 1);
             self.rebuild_service_index();
         }
-        changed
+        effective
     }
 
     fn upsert(&self, entry: &Entry) -> bool {
--- a/crates/route/src/poison/client.rs
+++ b/crates/route/src/poison/client.rs
@@ -119,7 +119,8 @@
     let Inbox { cache, clock, commands } = inbox;
     let table = Rc::new(Table::open(Rc::clone(&rows), clock));
     let last_era = Cell::new(None);
-    let read = async || read(&table, &cache, &last_era, &log).await;
+    // Any change is rare enough here to read all rows.
+    let read = async |_change| read(&table, &cache, &last_era, &log).await;
     let publish = async || publish(&table, &cache, &log).await;
     let following = feed::follow(&*rows, poll_interval, &log, read, publish);
     let executing = commands.for_each_concurrent(None, |command| {
--- a/crates/route/src/poison/suspect/board.rs
+++ b/crates/route/src/poison/suspect/board.rs
@@ -168,19 +168,35 @@
     ///
     /// Returns the suspects that the table calls guilty although an answer has cleared them here.
     pub fn replace(&mut self, rows: Vec<(Id, u64, Record)>, now: Millis) -> Vec<Id> {
-        let mut entries = HashMap::new();
-        for (id, revision, record) in rows {
-            if !record.is_expired(now) {
-                entries.insert(id, Entry { record, revision, is_unpublished: false });
+        self.entries.retain(|_, entry| {
+            entry.revision = 0;
+            entry.is_unpublished
+        });
+        self.update(rows, &[], now)
+    }
+
+    /// Applies rows of the table that have changed or were deleted.
+    ///
+    /// Returns the suspects that the table calls guilty although an answer has cleared them here.
+    pub fn update(&mut self, rows: Vec<(Id, u64, Record)>, deleted: &[Id], now: Millis) -> Vec<Id> {
+        for id in deleted {
+            match self.entries.get_mut(id) {
+                Some(entry) if entry.is_unpublished => entry.revision = 0,
+                _ => drop(self.entries.remove(id)),
             }
         }
-        for (id, known) in self.entries.drain().filter(|(_, entry)| entry.is_unpublished) {
-            let entry: &mut Entry = entries.entry(id).or_default();
-            let stored = entry.record.clone();
-            entry.record.merge(&known.record);
-            entry.is_unpublished = entry.record != stored;
+        for (id, revision, record) in rows {
+            let unpublished = self.entries.remove(&id).filter(|entry| entry.is_unpublished);
+            if record.is_expired(now) && unpublished.is_none() {
+                continue;
+            }
+            let mut entry = Entry { record: record.clone(), revision, is_unpublished: false };
+            if let Some(known) = unpublished {
+                entry.record.merge(&known.record);
+                entry.is_unpublished = entry.record != record;
+            }
+            self.entries.insert(id, entry);
         }
-        self.entries = entries;
         let is_disproved = |(id, entry): &(&Id, &Entry)| {
             entry.record.verdict(now) == Verdict::Guilty && self.is_cleared(**id, &entry.record)
         };
--- a/crates/route/src/poison/suspect/client.rs
+++ b/crates/route/src/poison/suspect/client.rs
@@ -9,7 +9,7 @@
 use futures::future::LocalBoxFuture;
 use futures::{FutureExt, StreamExt};
 use slog::{Logger, info, warn};
-use store::{Commit, Row, Table, Txn};
+use store::{Change, Commit, Row, Table, Txn};
 
 use super::board::{Board, MAX_SUSPECTS_PER_CRASH};
 use super::record::Record;
@@ -151,9 +151,9 @@
             executor.run(command, &log).await;
         }
     };
-    let read = async || executor.read(&log).await;
+    let apply = async |change| executor.apply(change, &log).await;
     let publish = async || executor.publish(&log).await;
-    let following = feed::follow(&*table, poll_interval, &log, read, publish);
+    let following = feed::follow(&*table, poll_interval, &log, apply, publish);
     futures::future::select(following.boxed_local(), executing.boxed_local()).await;
 }
 
@@ -192,8 +192,34 @@
         }
     }
 
-    /// Replaces the records by those of the table, and clears those that answers have disproved.
-    async fn read(&self, log: &Logger) -> Result<(), store::Error> {
+    /// Applies a change of the table, and clears the records that answers have disproved.
+    async fn apply(&self, change: Change, log: &Logger) -> Result<(), store::Error> {
+        let cleared = match change {
+            Change::Nothing => return Ok(()),
+            Change::Rows { written, deleted } => {
+                let deleted: Vec<Id> = deleted.iter().filter_map(|key| parse_key(key)).collect();
+                let now = self.clock.now_ms();
+                self.board.borrow_mut().update(parse_rows(&written), &deleted, now)
+            }
+            Change::Unknown => {
+                let rows = self.read().await?;
+                let era = self.clock.table.era();
+                let last_era = self.era.replace(era);
+                let mut board = self.board.borrow_mut();
+                if last_era.is_some() && last_era != era {
+                    warn!(log, "crash records kept after a restore of the store");
+                    board.unpublish();
+                }
+                board.replace(parse_rows(&rows), self.clock.now_ms())
+            }
+        };
+        for id in cleared {
+            self.clear(id).await?;
+        }
+        Ok(())
+    }
+
+    async fn read(&self) -> Result<Vec<Row>, store::Error> {
         let mut rows: Vec<Row> = Vec::new();
         loop {
             let after = rows.last().map(|row| row.key.clone()).unwrap_or_default();
@@ -201,28 +227,9 @@
             let is_last = page.len() < PAGE_ROWS;
             rows.extend(page);
             if is_last {
-                break;
-            }
-        }
-        let era = self.clock.table.era();
-        let last_era = self.era.replace(era);
-        let rows = rows.iter().filter_map(|row| {
-            // A malformed row is skipped, and replaced by the next crash of its suspect.
-            let record = serde_json::from_value(row.value.clone()).unwrap_or_default();
-            Some((parse_key(&row.key)?, row.revision, record))
-        });
-        let cleared = {
-            let mut board = self.board.borrow_mut();
-            if last_era.is_some() && last_era != era {
-                warn!(log, "crash records kept after a restore of the store");
-                board.unpublish();
+                return Ok(rows);
             }
-            board.replace(rows.collect(), self.clock.now_ms())
-        };
-        for id in cleared {
-            self.clear(id).await?;
         }
-        Ok(())
     }
 
     /// Writes the records that the table lacks.
@@ -327,6 +334,16 @@
     Id::from_str_radix(key.strip_prefix(ROWS)?, 16).ok()
 }
 
+/// Returns the suspect, the revision and the record of each row.
+fn parse_rows(rows: &[Row]) -> Vec<(Id, u64, Record)> {
+    let parse = |row: &Row| {
+        // A malformed row is replaced by the next crash of its suspect.
+        let record = serde_json::from_value(row.value.clone()).unwrap_or_default();
+        Some((parse_key(&row.key)?, row.revision, record))
+    };
+    rows.iter().filter_map(parse).collect()
+}
+
 /// Returns the revision and the record of a suspect's row.
 fn find(rows: &[Row], id: Id) -> Option<(u64, Record)> {
     let key = key(id);
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -15,7 +15,7 @@
 use futures::future::LocalBoxFuture;
 
 pub use crate::error::Error;
-pub use crate::row::{Check, Commit, Listing, Row, Txn, Write};
+pub use crate::row::{Change, Check, Commit, Listing, Row, Txn, Write};
 
 /// Future of one call to the platform; it need not be `Send`.
 pub type Pending<'a, T> = LocalBoxFuture<'a, Result<T, Error>>;
@@ -38,14 +38,15 @@
 
     /// Waits until a row of a table may have changed since the last call, `longest` at most.
     ///
-    /// `prefix` is the first segment of the rows' keys. Returns false if no row has changed; the
-    /// first call returns true at once, so that changes during the next read are not missed. Tables
-    /// without a feed wait for the whole time.
-    fn wait_change(&self, prefix: String, longest: Duration) -> Pending<'_, bool> {
+    /// `prefix` is the first segment of the rows' keys. The first call returns
+    /// [`Change::Unknown`] at once, so that changes during the next read are not missed. Tables
+    /// without a feed wait for the whole time, and return the same. A call that fails has not taken
+    /// anything from the next one.
+    fn wait_change(&self, prefix: String, longest: Duration) -> Pending<'_, Change> {
         drop(prefix);
         async move {
             tokio::time::sleep(longest).await;
-            Ok(true)
+            Ok(Change::Unknown)
         }
         .boxed_local()
     }
--- a/crates/store/src/row.rs
+++ b/crates/store/src/row.rs
@@ -75,6 +75,23 @@
     Conflict(Vec<Row>),
 }
 
+/// What has changed in the rows of a table since the last call that waited for it.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub enum Change {
+    /// No row has changed.
+    #[default]
+    Nothing,
+    /// These rows have changed.
+    Rows {
+        /// Rows as they are now.
+        written: Vec<Row>,
+        /// Keys of the rows that were deleted.
+        deleted: Vec<String>,
+    },
+    /// Any row may have changed, and all must be read.
+    Unknown,
+}
+
 /// Entry of the platform's instance list.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Listing {
