Take over shares after a restart also if the configuration arrives last

Found by reading the diff: an unlisted instance that learned the list of instances before the configuration took over nothing of its previous start, since it knew no accounts at that moment and did not try again.

--- a/crates/ledger/src/escrow/driver.rs
+++ b/crates/ledger/src/escrow/driver.rs
@@ -203,10 +203,10 @@
     /// A listed instance takes tokens of all accounts. Another one only takes over what its previous
     /// start has left, without haste.
     fn open_shares(&self) {
-        if self.inner.instance_count.get() == 0 {
+        let accounts: Vec<AccountId> = self.inner.budgets.borrow().keys().map(Arc::clone).collect();
+        if self.inner.instance_count.get() == 0 || accounts.is_empty() {
             return;
         }
-        let accounts: Vec<AccountId> = self.inner.budgets.borrow().keys().map(Arc::clone).collect();
         if self.inner.is_listed.get() {
             for account in accounts {
                 if !self.inner.entries.borrow().contains_key(&account) {
--- a/crates/ledger/tests/escrow_load.rs
+++ b/crates/ledger/tests/escrow_load.rs
@@ -512,3 +512,35 @@
         assert!(conflicts <= 2, "{conflicts} of {writes} writes in conflict");
     });
 }
+
+/// Guards against tokens that stay with an instance which is not listed after its restart.
+#[test]
+fn an_unlisted_instance_returns_what_its_previous_start_has_left() {
+    simulate(async {
+        let world = World::open_settled(2, 1_000_000).await;
+        sleep(Duration::from_secs(3)).await;
+        let total = || {
+            let rows = world.part.platform.range(&total_key(ACCOUNT), "", 1);
+            serde_json::from_value::<Total>(rows[0].value.clone()).expect("a total").out
+        };
+        let before = total();
+        let restarted = Escrow::spawn(Context {
+            table: Rc::clone(&world.part) as Rc<dyn Table>,
+            holder: "node-0".into(),
+            incarnation: 77,
+            clock: Arc::new(SimulatedClock(Instant::now())),
+            started_at: Duration::ZERO,
+            is_first_start: false,
+            peers: None,
+            log: Logger::root(Discard, o!()),
+        });
+        // The list of instances is known before the configuration.
+        restarted.set_instances(1, false);
+        restarted.configure([(ACCOUNT.into(), Some(1_000_000))].into());
+        // The previous start goes on here, and would write its row again at its next renewal.
+        sleep(Duration::from_millis(800)).await;
+        let after = total();
+        println!("{before} tokens handed out before the restart, {after} after it");
+        assert!(after < before / 10 * 7, "{after} of {before} tokens are still handed out");
+    });
+}
