Read the total before a share changes its size, and reread before tokens count as held elsewhere

What callers saw: near the end of a budget, requests were refused as if other instances held the tokens, although these had been returned to the pool up to 1.5 s before.

Near the end of a budget with many holders, all of them wrote again at once after a conflict, so that the queue at the store made each write out of date before its turn (37 of 40 writes in conflict). - A request was refused for tokens held elsewhere on rows up to 1.5 s old. - A share took what was left in the pool although it did not cover the waiting request, and returned it at once.

Change: rows are read before a write of the total that another holder may have changed; an urgent renewal leaves the total out instead. After a conflict with waiting requests, the pause follows the latency of the write. Rows older than 0.2 s are read again before such a refusal. A share that keeps no free tokens takes only what serves a request. The share of a budget that all exposures may reach is 3.4 in 100, not 4.2: the bound of 3 in 100 after a loss of all instances held at the five tested moments only, and was broken at 9 of 56 (224,231 of 5,000,000 at most); it holds at all 56 now, which a new test checks.

--- a/crates/ledger/src/escrow/driver.rs
+++ b/crates/ledger/src/escrow/driver.rs
@@ -509,12 +509,8 @@
                 Step::Read => self.read_rows(entry).await,
                 Step::Write(txn) => {
                     let is_applied = self.write_row(entry, txn).await;
-                    if matches!(is_applied, Ok(false)) && entry.backlog.borrow().is_empty() {
-                        // Another instance writes the same rows, and no request waits here. One that
-                        // arrives ends the pause.
-                        let pause = rand::random_range(CONFLICT_PAUSE_MS) * conflicts;
-                        let pause = Duration::from_millis(u64::from(pause));
-                        drop(timeout(pause, entry.wake.notified()).await);
+                    if matches!(is_applied, Ok(false)) {
+                        self.pause_after_conflict(entry, conflicts).await;
                         conflicts += 1;
                     }
                     is_applied.map(drop)
@@ -535,6 +531,19 @@
         entry.wake.notify_one();
     }
 
+    /// Pauses after a write that lost against one of another instance.
+    async fn pause_after_conflict(&self, entry: &Entry, conflicts: u32) {
+        if entry.backlog.borrow().is_empty() {
+            // A request that arrives ends the pause.
+            let pause = rand::random_range(CONFLICT_PAUSE_MS) * conflicts;
+            let pause = Duration::from_millis(u64::from(pause));
+            drop(timeout(pause, entry.wake.notified()).await);
+        } else {
+            let longest = entry.share.borrow().latency().max_conflict_pause(conflicts);
+            sleep(longest.mul_f64(rand::random())).await;
+        }
+    }
+
     /// Passes the era of the store to a share, which is written again if the era has changed.
     fn enter_era(&self, entry: &Entry) {
         let Context { table, log, .. } = &self.inner.context;
--- a/crates/ledger/src/escrow/latency.rs
+++ b/crates/ledger/src/escrow/latency.rs
@@ -12,11 +12,16 @@
 ///
 /// Calls over a saturated link take half as long.
 const STALL_THRESHOLD: Duration = Duration::from_millis(800);
+/// Pause after a conflict as a multiple of the latency of the write, for each conflict in a row.
+const CONFLICT_PAUSE_FACTOR: u32 = 2;
+/// Longest pause after a conflict while requests wait.
+const MAX_CONFLICT_PAUSE: Duration = Duration::from_millis(150);
 
 /// Latency of recent calls to the store.
 #[derive(Debug, Default)]
 pub struct Latency {
     call_started_at: Duration,
+    last_write: Duration,
     slowest_write: Duration,
 }
 
@@ -35,6 +40,7 @@
     /// Records that the answer to the write arrived.
     pub fn end_write(&mut self, now: Duration) {
         let sample = now.saturating_sub(self.call_started_at);
+        self.last_write = sample;
         self.slowest_write = self.slowest_write.mul_f64(1.0 - SLOWEST_WRITE_DECAY).max(sample);
     }
 
@@ -68,6 +74,25 @@
         (self.slowest_write * WRITE_TIMEOUT_FACTOR).clamp(MIN_WRITE_TIMEOUT, MAX_WRITE_TIMEOUT)
     }
 
+    /// Returns the longest pause after a number of conflicts in a row.
+    ///
+    /// Writes that queue at the store make each other's revisions out of date. The longer the queue,
+    /// the longer the writers pause, so that only a few of them write at a time.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let mut latency = ledger::escrow::latency::Latency::default();
+    /// latency.start_call(Duration::ZERO);
+    /// latency.end_write(Duration::from_millis(20));
+    /// assert_eq!(latency.max_conflict_pause(2), Duration::from_millis(80));
+    /// ```
+    #[must_use]
+    pub fn max_conflict_pause(&self, conflicts: u32) -> Duration {
+        (self.last_write * CONFLICT_PAUSE_FACTOR * conflicts).min(MAX_CONFLICT_PAUSE)
+    }
+
     /// Returns true if the call in progress is slow enough to suggest an outage.
     ///
     /// The result means nothing while no call is in progress.
--- a/crates/ledger/src/escrow/share.rs
+++ b/crates/ledger/src/escrow/share.rs
@@ -47,8 +47,12 @@
 const FIRST_TAKE_SPREAD: Duration = Duration::from_millis(2_500);
 /// Age of the known total up to which a write of it rarely conflicts.
 const FRESH_TOTAL_AGE: Duration = Duration::from_millis(100);
-/// Age above which the known rows of other holders are too old for a rejection.
+/// Age above which the known rows are too old to reject a request.
 const MAX_READ_AGE: Duration = Duration::from_millis(1_500);
+/// Age above which the known rows are too old to reject a request whose tokens others hold.
+///
+/// Other holders return unused tokens at any moment, while used ones rarely come back.
+const MAX_READ_AGE_HELD: Duration = Duration::from_millis(200);
 
 /// Time after the first write of an era in which no holder takes tokens.
 ///
@@ -433,14 +437,14 @@
     /// Returns why a request cannot be covered; `None` if rows must be read first.
     #[must_use]
     pub fn shortage(&self, bound: Tokens, now: Duration) -> Option<Shortage> {
-        if now.saturating_sub(self.rows_read_at?) > MAX_READ_AGE {
+        let is_fenced = self.is_fenced(self.last_store_now);
+        let obtainable = self.available() + self.free() + self.others_free + self.borrowed;
+        let is_exhausted = bound > obtainable && !is_fenced;
+        let max_age = if is_exhausted || is_fenced { MAX_READ_AGE } else { MAX_READ_AGE_HELD };
+        if now.saturating_sub(self.rows_read_at?) > max_age {
             return None;
         }
-        if self.is_fenced(self.last_store_now) {
-            return Some(Shortage::HeldElsewhere);
-        }
-        let obtainable = self.available() + self.free() + self.others_free + self.borrowed;
-        Some(if bound > obtainable { Shortage::Exhausted } else { Shortage::HeldElsewhere })
+        Some(if is_exhausted { Shortage::Exhausted } else { Shortage::HeldElsewhere })
     }
 
     /// Notes the era of the store; a later one than before makes the known rows invalid.
@@ -516,10 +520,21 @@
         // No row can be written without the store's time, which every answer carries.
         let Some(store_now) = store_now else { return Step::Read };
         self.last_store_now = store_now;
-        match self.draft(now, store_now) {
-            Some(draft) => Step::Write(self.start_write(draft, now)),
-            None => Step::Idle,
+        let Some(draft) = self.draft(now, store_now) else { return Step::Idle };
+        if draft.total.is_some() && self.is_total_doubtful(now) {
+            self.latency.start_call(now);
+            return Step::Read;
         }
+        Step::Write(self.start_write(draft, now))
+    }
+
+    /// Returns true if another holder may have written the total since it was last known.
+    fn is_total_doubtful(&self, now: Duration) -> bool {
+        !self.others.is_empty() && !self.is_total_fresh(now)
+    }
+
+    fn is_total_fresh(&self, now: Duration) -> bool {
+        now.saturating_sub(self.total_known_at) <= FRESH_TOTAL_AGE
     }
 
     fn draft(&self, now: Duration, store_now: Duration) -> Option<Draft> {
@@ -528,9 +543,11 @@
         let is_limit_near = self.committed() + self.demand > half_exposure_used
             && self.stored.granted > self.stored.spend_limit_at(now_ms)
             || (!self.owns_row && self.demand > 0 && self.demand <= self.stored.granted);
-        // Other holders write the total too. After a conflict, an urgent renewal leaves it out,
-        // since over a slow link the write would lose several races in a row.
-        let skips_total = self.has_conflict && is_limit_near && self.free() >= self.demand;
+        // Other holders write the total too. An urgent renewal leaves it out after a conflict, since
+        // over a slow link the write would lose several races in a row, and where it needs a read.
+        let skips_total = (self.has_conflict || self.is_total_doubtful(now))
+            && is_limit_near
+            && self.free() >= self.demand;
         let granted = match self.lost_grant {
             Some(lost) => lost.max(self.committed()),
             None if skips_total || !self.may_resize(now) => self.stored.granted,
@@ -583,7 +600,7 @@
     fn may_resize(&self, now: Duration) -> bool {
         self.demand > 0
             || self.status == Status::Closing
-            || now.saturating_sub(self.total_known_at) <= FRESH_TOTAL_AGE
+            || self.is_total_fresh(now)
             || self.needs_refill(now)
     }
 
--- a/crates/ledger/src/escrow/share/exposure.rs
+++ b/crates/ledger/src/escrow/share/exposure.rs
@@ -19,7 +19,7 @@
 /// no claim to the last 3 in 100 of a budget. The exposure may exceed 3 in 100, since a part of it
 /// is really spent after the rows are written. [`COVERED_WRITES`] and [`AMPLE_EXPOSURE_REQUESTS`]
 /// can raise the exposure above this limit.
-const EXPOSURE_MAX_OF_BUDGET: f64 = 0.042;
+const EXPOSURE_MAX_OF_BUDGET: f64 = 0.034;
 /// Largest exposure of all holders together, as a fraction of the remaining budget.
 ///
 /// It keeps the exposure small near the end of the budget.
--- a/crates/ledger/src/escrow/share/size.rs
+++ b/crates/ledger/src/escrow/share/size.rs
@@ -120,8 +120,10 @@
             let increase =
                 (self.committed() + needed_free).saturating_sub(granted).min(spare).max(waiting);
             let serves_waiting = free < self.demand && free + increase >= self.demand;
-            // A small increase that serves no waiting request is not worth a write.
-            if serves_waiting || increase > fraction_of(target, 1.0 - REFILL_BELOW) {
+            // A small increase that serves no waiting request is not worth a write, nor is one of a
+            // share that would return it at once.
+            let is_refill = target > 0 && increase > fraction_of(target, 1.0 - REFILL_BELOW);
+            if serves_waiting || is_refill {
                 return granted + increase;
             }
         }
--- a/crates/ledger/tests/escrow_load.rs
+++ b/crates/ledger/tests/escrow_load.rs
@@ -18,6 +18,7 @@
 use slog::{Discard, Logger, o};
 use store::memory::Platform;
 use store::{Commit, Error, Pending, Row, Table, Txn};
+use test_case::test_case;
 use tokio::task::LocalSet;
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -66,6 +67,7 @@
     is_away: Cell<bool>,
     /// Whether another instance writes the total before each write of it.
     is_contended: Cell<bool>,
+    reads: Cell<usize>,
     commits: Cell<usize>,
     conflicts: Cell<usize>,
     calls_in_flight: Cell<usize>,
@@ -81,6 +83,7 @@
             opened_at: now,
             is_away: Cell::new(false),
             is_contended: Cell::new(false),
+            reads: Cell::new(0),
             commits: Cell::new(0),
             conflicts: Cell::new(0),
             calls_in_flight: Cell::new(0),
@@ -116,6 +119,7 @@
         let read = async move {
             self.check_away().await?;
             sleep(READ_TIME).await;
+            self.reads.set(self.reads.get() + 1);
             Ok(self.platform.range(&prefix, &after, limit))
         };
         self.track(read).boxed_local()
@@ -500,6 +504,32 @@
     });
 }
 
+/// Guards against holders that collide on the total of an account whose budget runs out.
+///
+/// Each took tokens for the requests that waited there, on the total as of its last read.
+#[test_case(5, 3_000_000, 60; "five_holders")]
+#[test_case(8, 6_000_000, 40; "eight_holders")]
+#[test_case(20, 12_000_000, 25; "twenty_holders")]
+fn holders_rarely_collide_at_the_end_of_a_budget(holders: usize, budget: Tokens, gap_ms: u64) {
+    simulate(async {
+        let world = World::open_settled(holders, budget).await;
+        world.part.reads.set(0);
+        world.part.commits.set(0);
+        world.part.conflicts.set(0);
+        let requests = usize::try_from(budget / 6_000).expect("a number");
+        let instance = |number: usize| number * 7 % holders;
+        let gap = Duration::from_millis(gap_ms);
+        world.send_to(requests, gap, |number| (mixed_bound(number), 1), instance).await;
+        let Part { reads, commits, conflicts, .. } = &*world.part;
+        let (reads, writes, conflicts) = (reads.get(), commits.get(), conflicts.get());
+        let spent = world.tally.borrow().spent;
+        println!("{conflicts} of {writes} writes in conflict, {reads} reads, {spent} spent");
+        assert!(spent <= budget, "{spent} of {budget} spent");
+        assert!(spent >= budget / 100 * 97, "{spent} of {budget} spent");
+        assert!(conflicts * 100 <= writes * 5, "{conflicts} of {writes} writes in conflict");
+    });
+}
+
 /// Guards against holders that take their first shares of an account at the same moment.
 #[test]
 fn holders_that_start_at_the_same_moment_rarely_collide() {
--- a/crates/ledger/tests/escrow_loss.rs
+++ b/crates/ledger/tests/escrow_loss.rs
@@ -184,3 +184,18 @@
     println!("stranded {stranded} of {BUDGET}, {} writes", world.write_count);
     assert!(stranded <= BUDGET / 100 * MAX_STRANDED_PERCENT, "{stranded} of {BUDGET}");
 }
+
+/// Guards against a bound that holds at some moments of a budget only.
+#[test]
+fn power_loss_at_any_moment_strands_at_most_3_percent() {
+    let too_many: Vec<(Tokens, Tokens)> = (4..60)
+        .map(|percent_left| {
+            let mut world = World::open();
+            world.spend_until(percent_left);
+            world.lose_power();
+            (percent_left, world.stranded())
+        })
+        .filter(|(_, stranded)| *stranded > BUDGET / 100 * MAX_STRANDED_PERCENT)
+        .collect();
+    assert!(too_many.is_empty(), "percent left and tokens stranded: {too_many:?}");
+}
