--- a/crates/front/src/fleet.rs
+++ b/crates/front/src/fleet.rs
@@ -7,8 +7,6 @@
 use base::prelude::*;
 use route::placement::{self, Workload};
 use route::prefix;
-use tokio::sync::Notify;
-use tokio::time::timeout;
 
 use crate::params::Params;
 use crate::upstream::{Entry, Upstream};
@@ -24,10 +22,6 @@
 ///
 /// It covers the longest wait of the feed for a change, and that for a late answer.
 const LIST_VALIDITY: Duration = Duration::from_millis(2_600);
-/// Longest wait of a request for the first read of the list.
-///
-/// Thousands of entries take about a third of it over a slow link.
-const FIRST_READ_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// An upstream selected for an attempt of a request.
 #[derive(Debug, Clone)]
@@ -62,14 +56,6 @@
     version: Cell<u64>,
     /// When the list was last known to be complete; `None` while the store does not answer.
     confirmed_at: Cell<Option<Duration>>,
-    /// Whether changes of the list are followed.
-    is_followed: Cell<bool>,
-    /// Whether the list has been read once.
-    is_read: Cell<bool>,
-    /// Starts the first read.
-    wanted: Notify,
-    /// Ends the waits for the first read, also if it fails.
-    read_ended: Notify,
 }
 
 impl Fleet {
@@ -83,38 +69,7 @@
             connection_limits: RefCell::default(),
             version: Cell::new(0),
             confirmed_at: Cell::default(),
-            is_followed: Cell::default(),
-            is_read: Cell::default(),
-            wanted: Notify::new(),
-            read_ended: Notify::new(),
-        }
-    }
-
-    /// Returns true if upstreams are listed, or the list will be read for the first request.
-    #[must_use]
-    pub fn can_serve(&self) -> bool {
-        self.version.get() > 0 || !self.is_followed.get()
-    }
-
-    /// Waits until a request needs the list.
-    pub async fn wanted(&self) {
-        self.wanted.notified().await;
-    }
-
-    /// Notes that changes of the list are followed from now on.
-    pub fn set_followed(&self) {
-        self.is_followed.set(true);
-    }
-
-    /// Starts the first read of the list, and waits until it has succeeded or failed.
-    pub async fn read_first(&self) {
-        if self.is_read.get() {
-            return;
         }
-        let ended = self.read_ended.notified();
-        self.wanted.notify_one();
-        // After the timeout the request is handled with the upstreams known by then.
-        drop(timeout(FIRST_READ_TIMEOUT, ended).await);
     }
 
     /// Returns how often the list has changed; 0 means that no upstream was listed yet.
@@ -126,8 +81,6 @@
     /// Notes that the list is complete, or that it is unknown whether it is.
     pub fn set_confirmed(&self, at: Option<Duration>) {
         self.confirmed_at.set(at);
-        self.is_read.set(self.is_read.get() || at.is_some());
-        self.read_ended.notify_waiters();
     }
 
     /// Returns true if no upstream can have been listed anew without being known here.
--- a/crates/front/src/roster.rs
+++ b/crates/front/src/roster.rs
@@ -187,8 +187,6 @@
     standbys: Cell<Option<(u64, Duration)>>,
     /// Starts the next heartbeat before the interval ends.
     heartbeat_now: Notify,
-    /// Tells that this instance has become a candidate.
-    joined: Notify,
 }
 
 impl Roster {
@@ -214,14 +212,6 @@
             standby_written_at: Cell::default(),
             standbys: Cell::default(),
             heartbeat_now: Notify::new(),
-            joined: Notify::new(),
-        }
-    }
-
-    /// Waits until this instance is among those that are listed, or would be listed next.
-    pub async fn joined(&self) {
-        while self.role.get() != Role::Candidate {
-            self.joined.notified().await;
         }
     }
 
@@ -561,9 +551,6 @@
         let last = self.role.get();
         let role = last.after_read(found_row, self.keeps_row());
         self.role.set(role);
-        if role == Role::Candidate {
-            self.joined.notify_one();
-        }
         match role {
             Role::Candidate if last != Role::Candidate => self.write_row(table).await?,
             Role::Candidate if self.is_first_listed() => {
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -205,8 +205,6 @@
         if self.is_draining.get() {
             return Err(Refusal::not_run(503, "stopping").retry_after(STOPPING_RETRY));
         }
-        // An instance that callers rarely use reads the list of upstreams for its first request.
-        self.fleet.read_first().await;
         let host = head.fields.get("host").unwrap_or_default();
         let route = table.find_route(host, head.path()).ok_or(Refusal::not_run(404, "no_route"))?;
         let key_account = params.api_key.as_ref().and_then(|key| table.accounts_by_key.get(key));
