Remember all listed instances, so that holders that leave the list early are fenced

Its tokens were not recovered either.

Cause: a holder counts as dead if its instance had been listed and is not any more. Which instances had been listed was noted only at the scans for dead holders, every 2 s. An instance that left the list before the first scan of the others counted as one that is not listed yet, forever. The test passed mostly, because a resumed instance also refuses requests until it has confirmed its lease, some milliseconds later.

Change: the view of the membership remembers each instance of any list.

Evidence: the same check 1 s after the resumption fails before (200 in place of 503, as does the one at once beside load) and passes after.

Open: an instance that starts after another one has left the list for good does not know that it was listed. If all start anew, the pieces of a holder that is gone are not recovered.

--- a/crates/daemon/src/recovery.rs
+++ b/crates/daemon/src/recovery.rs
@@ -2,7 +2,6 @@
 //!
 //! A holder is one incarnation of an instance, as owner of pieces.
 
-use std::collections::BTreeSet;
 use std::rc::Rc;
 
 use base::prelude::*;
@@ -26,12 +25,9 @@
 /// Each instance scans less often the more instances are listed, so that the load on the table
 /// does not grow with the fleet.
 pub async fn run(shared: Arc<Shared>, table: Rc<dyn Table>) {
-    let mut ever_listed = BTreeSet::new();
     loop {
         sleep(Millis::from(scan_interval(&shared))).await;
-        ever_listed
-            .extend(shared.membership.listed().iter().map(|listing| listing.instance.clone()));
-        if let Err(error) = recover_dead_holders(&shared, &*table, &ever_listed).await {
+        if let Err(error) = recover_dead_holders(&shared, &*table).await {
             warn!(shared.log, "cannot recover dead holders"; "error" => %error);
         }
     }
@@ -43,18 +39,14 @@
     SCAN_INTERVAL.saturating_mul(rounds.max(1))
 }
 
-async fn recover_dead_holders(
-    shared: &Shared,
-    table: &dyn Table,
-    ever_listed: &BTreeSet<String>,
-) -> Result<(), store::Error> {
+async fn recover_dead_holders(shared: &Shared, table: &dyn Table) -> Result<(), store::Error> {
     let holders = recover::holders(table).await?;
     let wall = shared.clock.wall();
-    let listed = shared.membership.listed();
+    let (listed, ever_listed) = (shared.membership.listed(), shared.membership.ever_listed());
     let snapshot = Snapshot {
         holders: &holders,
         listed: &listed,
-        ever_listed,
+        ever_listed: &ever_listed,
         wall,
         max_clock_skew: MAX_CLOCK_SKEW,
     };
--- a/crates/ledger/src/recover.rs
+++ b/crates/ledger/src/recover.rs
@@ -41,7 +41,7 @@
     /// Instances in the platform's list now.
     pub listed: &'a [Listing],
     /// Ids of all instances that were in the list at some time.
-    pub ever_listed: &'a BTreeSet<String>,
+    pub ever_listed: &'a BTreeSet<InstanceId>,
     /// Wall-clock time since the Unix epoch.
     pub wall: Duration,
     /// Largest difference between the wall clocks of two instances.
--- a/crates/ledger/tests/dead_holders.rs
+++ b/crates/ledger/tests/dead_holders.rs
@@ -35,8 +35,8 @@
     let holders: BTreeMap<String, Holder> =
         ids.iter().map(|(id, state)| ((*id).to_owned(), holder(*state))).collect();
     let listed: Vec<Listing> = listed.iter().map(|instance| listing(instance)).collect();
-    let ever_listed: BTreeSet<String> =
-        ever_listed.iter().map(|instance| (*instance).to_owned()).collect();
+    let ever_listed: BTreeSet<InstanceId> =
+        ever_listed.iter().map(|instance| (*instance).into()).collect();
     let snapshot = Snapshot {
         holders: &holders,
         listed: &listed,
--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -1,5 +1,6 @@
 //! This instance's view of all instances, shared by its threads.
 
+use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use arc_swap::ArcSwap;
@@ -16,6 +17,8 @@
 pub struct View {
     own: Listing,
     listed: ArcSwap<Vec<Listing>>,
+    /// Ids of all instances that any list has contained.
+    ever_listed: ArcSwap<BTreeSet<InstanceId>>,
     members: ArcSwap<Vec<Member>>,
     /// Time for which callers may cache an answer.
     answer_ttl: Duration,
@@ -40,6 +43,7 @@
         Self {
             own,
             listed: ArcSwap::default(),
+            ever_listed: ArcSwap::default(),
             members: ArcSwap::default(),
             answer_ttl,
             leaving: AtomicBool::new(false),
@@ -48,6 +52,13 @@
 
     /// Replaces the platform's instance list.
     pub fn set_listed(&self, listed: Vec<Listing>) {
+        let known = self.ever_listed.load();
+        if listed.iter().any(|listing| !known.contains(listing.instance.as_str())) {
+            self.ever_listed.rcu(|known| {
+                let ids = listed.iter().map(|listing| listing.instance.as_str().into());
+                known.iter().map(Arc::clone).chain(ids).collect::<BTreeSet<_>>()
+            });
+        }
         self.listed.store(Arc::new(listed));
     }
 
@@ -78,6 +89,11 @@
         self.listed.load_full()
     }
 
+    /// Returns the ids of all instances that have been listed since the start of this one.
+    pub fn ever_listed(&self) -> Arc<BTreeSet<InstanceId>> {
+        self.ever_listed.load_full()
+    }
+
     /// Returns the members known from heartbeats; empty without an agent.
     pub fn members(&self) -> Arc<Vec<Member>> {
         self.members.load_full()
--- a/crates/rig/tests/ledger_recovery.rs
+++ b/crates/rig/tests/ledger_recovery.rs
@@ -11,9 +11,12 @@
 use rig::cluster::{Cluster, Shape};
 use rig::platform::Budget;
 use serde_json::{Value, json};
+use test_case::test_case;
 
 /// Longest time until the tokens of a dead holder are recovered.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time in which a resumed instance that is not fenced confirms its lease and serves again.
+const RESUME_TIME: Duration = Duration::from_secs(1);
 /// Interval between two reads of the budgets.
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -75,8 +78,15 @@
     assert!(budget.billed + budget.held <= budget.paid);
 }
 
+/// Guards against an instance that serves after its holder should have been fenced.
+///
+/// It left the list before the other instances looked for dead holders for the first time, so that
+/// they took it for one that is not listed yet. Just after it resumed it refused requests in any
+/// case, as it had not confirmed its lease.
+#[test_case(Duration::ZERO; "at once")]
+#[test_case(RESUME_TIME; "later")]
 #[ntex::test]
-async fn resumed_instance_whose_holder_was_fenced_refuses_requests() {
+async fn resumed_instance_whose_holder_was_fenced_refuses_requests(pause: Duration) {
     let mut cluster = Cluster::spawn(&shape(), &Value::Null).await.unwrap();
     send_chat(&cluster, 0, "before").await;
     cluster.routers[0].process.freeze();
@@ -85,6 +95,7 @@
     // The lease and its margin expire, and another instance fences the holder.
     sleep(Millis::from(Duration::from_secs(11))).await;
     frozen.process.resume();
+    sleep(Millis::from(pause)).await;
     let target = format!("http://{}/v1/chat/completions", frozen.address);
     let request = cluster.http.post(target).bearer_auth("courier-key");
     let answer = request.send_json(&request_body("after", false)).await.unwrap();
