--- a/crates/ledger/src/escrow/latency.rs
+++ b/crates/ledger/src/escrow/latency.rs
@@ -12,10 +12,10 @@
 ///
 /// Calls over a saturated link take half as long.
 const STALL_THRESHOLD: Duration = Duration::from_millis(800);
-/// Pause after a conflict as a multiple of the latency of the write, for each conflict in a row.
-const CONFLICT_PAUSE_FACTOR: u32 = 2;
 /// Longest pause after a conflict while requests wait.
-const MAX_CONFLICT_PAUSE: Duration = Duration::from_millis(150);
+///
+/// Several of them fit into the time for which a request waits for the store.
+const MAX_CONFLICT_PAUSE: Duration = Duration::from_millis(100);
 
 /// Latency of recent calls to the store.
 #[derive(Debug, Default)]
@@ -86,11 +86,11 @@
     /// let mut latency = ledger::escrow::latency::Latency::default();
     /// latency.start_call(Duration::ZERO);
     /// latency.end_write(Duration::from_millis(20));
-    /// assert_eq!(latency.max_conflict_pause(2), Duration::from_millis(80));
+    /// assert_eq!(latency.max_conflict_pause(2), Duration::from_millis(40));
     /// ```
     #[must_use]
     pub fn max_conflict_pause(&self, conflicts: u32) -> Duration {
-        (self.last_write * CONFLICT_PAUSE_FACTOR * conflicts).min(MAX_CONFLICT_PAUSE)
+        (self.last_write * conflicts).min(MAX_CONFLICT_PAUSE)
     }
 
     /// Returns true if the call in progress is slow enough to suggest an outage.
