Keep the tokens that a restore has lost out of the budget after the next restore

After a second restore at 4.2 s the era row was begun anew, with nothing missing but what the second one had lost.

Change: a new era row starts with what the last one still missed.

Evidence: tokens_lost_in_a_restore_stay_out_of_the_budget_after_the_next_one fails before (10,000 tokens free beside 1,250 used of 10,000) and passes after.

If a holder had written its share again between the copy and the second restore, its tokens are missing twice, and a part of the budget stays unused.

--- a/crates/ledger/src/escrow/share.rs
+++ b/crates/ledger/src/escrow/share.rs
@@ -619,7 +619,8 @@
                 start_ms: if self.starts_era() { now_ms } else { 0 },
                 restored_out: self.total.out,
                 lost_out: self.total.out,
-                rewritten: 0,
+                // What an earlier restore has lost is still missing after this one.
+                rewritten: -i64::try_from(self.era_row.missing()).unwrap_or(i64::MAX),
             }
         } else {
             self.era_row
--- a/crates/ledger/tests/escrow.rs
+++ b/crates/ledger/tests/escrow.rs
@@ -436,6 +436,41 @@
     assert!(shares[0].free() + shares[1].free() <= BUDGET);
 }
 
+/// Guards against tokens that are granted again because a second restore forgot what the first had
+/// lost.
+///
+/// A holder used its share and died before the first restore, which took its row back.
+#[test]
+fn tokens_lost_in_a_restore_stay_out_of_the_budget_after_the_next_one() {
+    let platform = Platform::default();
+    let now = Duration::from_secs(20);
+    let mut survivor = open_share(0, 1);
+    run_steps(&mut survivor, &platform, now);
+    let backup = platform.backup();
+    let mut lost = open_share(1, 2);
+    run_steps(&mut lost, &platform, now);
+    let used = lost.free();
+    assert!(used > 0);
+    drop(lost);
+    survivor.invalidate_rows();
+    run_steps(&mut survivor, &platform, now);
+    platform.restore(&backup);
+    survivor.set_demand(BUDGET - used);
+    for restore_s in [1, 10] {
+        for wait_s in [0, 4] {
+            survivor.invalidate_rows();
+            run_steps(&mut survivor, &platform, now + Duration::from_secs(restore_s + wait_s));
+            assert!(survivor.free() + used <= BUDGET, "{} beside {used}", survivor.free());
+        }
+        platform.restore(&platform.backup());
+        survivor.set_demand(BUDGET);
+    }
+    survivor.invalidate_rows();
+    run_steps(&mut survivor, &platform, now + Duration::from_secs(20));
+    run_steps(&mut survivor, &platform, now + Duration::from_secs(24));
+    assert!(survivor.free() + used <= BUDGET, "{} beside {used}", survivor.free());
+}
+
 /// Guards against tokens that a successor reclaims although its predecessor may have used them.
 #[test]
 fn a_successor_reclaims_nothing_from_a_row_older_than_a_restore() {
