Tell a path in doubt from upstreams that are down in logs and metrics

route::path counts the upstreams to which connects have failed since one succeeded. From two on the path of the service is in doubt, which one line says with the upstreams ('path in doubt', 'path regained'). The counter connects has the service and the result: ok, refused, timeout, failed. The choice of upstreams is unchanged.

--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -11,7 +11,7 @@
 use plan::routing::{Kind, Route, Table};
 use route::poison::suspect::{self, Admission, Crash, Suspect};
 use route::prefix;
-use slog::info;
+use slog::{info, warn};
 use thiserror::Error;
 use tokio::time::timeout;
 
@@ -429,6 +429,7 @@
             let connect_timeout = CONNECT_TIMEOUT.min(time_left);
             let opened =
                 Conn::open(upstream.entry.address, connect_timeout, front.unacked_timeout).await;
+            front.record_connect(&upstream.entry, &opened);
             let failed = if opened.is_err() { 1.0 } else { 0.0 };
             front.connect_failure_ratio.borrow_mut().observe(failed, front.clock.now());
             if opened.as_ref().is_err_and(|error| error.kind() == ErrorKind::ConnectionRefused) {
@@ -664,6 +665,27 @@
     }
 }
 
+impl Front {
+    /// Records the result of a connect as evidence on this instance's path to the service.
+    fn record_connect<T>(&self, entry: &Entry, connected: &std::io::Result<T>) {
+        self.metrics.count_connect(&entry.service, connected);
+        let mut paths = self.paths.borrow_mut();
+        let path = paths.entry(Arc::clone(&entry.service)).or_default();
+        if let Err(error) = connected {
+            let upstream_count = self.fleet.service_size(&entry.service);
+            if path.record_failure(&entry.id, upstream_count, self.clock.now()) {
+                let failed: Vec<&str> = path.failed().map(|id| &**id).collect();
+                warn!(self.log, "path in doubt"; "service" => entry.service.as_ref(),
+                    "failed" => failed.join(" "), "upstreams" => upstream_count,
+                    "error" => %error);
+            }
+        } else if path.record_connected() {
+            info!(self.log, "path regained"; "service" => entry.service.as_ref(),
+                "upstream" => entry.id.as_ref());
+        }
+    }
+}
+
 impl Answer {
     /// Records the time since the request was sent, divided by the expected time.
     pub fn record_slowness(&self, now: Duration) {
--- a/crates/front/src/fleet.rs
+++ b/crates/front/src/fleet.rs
@@ -108,6 +108,12 @@
         self.upstreams.borrow().values().map(Rc::clone).collect()
     }
 
+    /// Returns the number of listed upstreams of a service.
+    #[must_use]
+    pub fn service_size(&self, service: &str) -> usize {
+        self.services.borrow().get(service).map_or(0, Vec::len)
+    }
+
     /// Replaces the limits on connections to one upstream, by service.
     ///
     /// A service without an entry is unlimited. Each request in flight uses one connection.
--- a/crates/front/src/metric.rs
+++ b/crates/front/src/metric.rs
@@ -1,5 +1,6 @@
 //! Prometheus metrics of the requests that are routed by host and path.
 
+use std::io::ErrorKind;
 use std::time::Duration;
 
 use prometheus_client::encoding::{EncodeLabelSet, text};
@@ -29,12 +30,23 @@
     pub account: String,
 }
 
+/// Labels of the counter of connects to upstreams.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ConnectLabels {
+    /// Service of the upstream.
+    pub service: String,
+    /// `ok`, `refused`, `timeout` or `failed`.
+    pub result: &'static str,
+}
+
 /// Registry of the metrics, and handles to update them.
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
     /// Number of requests by route and outcome.
     pub requests: Family<RequestLabels, Counter>,
+    /// Connects to upstreams by service and result.
+    pub connects: Family<ConnectLabels, Counter>,
     /// Time from arrival to the first event of a stream.
     pub first_byte_seconds: Family<AccountLabels, Histogram>,
     /// Time from arrival to the end of an answer.
@@ -53,9 +65,11 @@
     fn default() -> Self {
         let mut registry = Registry::with_prefix("lacewing");
         let requests = Family::default();
+        let connects = Family::default();
         let first_byte_seconds = Family::new_with_constructor(histogram as fn() -> Histogram);
         let whole_answer_seconds = Family::new_with_constructor(histogram as fn() -> Histogram);
         registry.register("requests", "Requests by route and outcome", requests.clone());
+        registry.register("connects", "Connects to upstreams", connects.clone());
         registry.register(
             "first_byte_seconds",
             "Time from arrival to the first event of a stream",
@@ -70,7 +84,7 @@
         peer.register(&mut registry);
         let store = watch::store::Counters::default();
         store.register(&mut registry);
-        Self { registry, requests, first_byte_seconds, whole_answer_seconds, peer, store }
+        Self { registry, requests, connects, first_byte_seconds, whole_answer_seconds, peer, store }
     }
 }
 
@@ -81,6 +95,17 @@
         self.requests.get_or_create(&labels).inc();
     }
 
+    /// Counts a connect to an upstream of a service.
+    pub fn count_connect<T>(&self, service: &str, connected: &std::io::Result<T>) {
+        let result = match connected {
+            Ok(_) => "ok",
+            Err(error) if error.kind() == ErrorKind::ConnectionRefused => "refused",
+            Err(error) if error.kind() == ErrorKind::TimedOut => "timeout",
+            Err(_) => "failed",
+        };
+        self.connects.get_or_create(&ConnectLabels { service: service.to_owned(), result }).inc();
+    }
+
     /// Adds the time of an account's request to a histogram.
     pub fn observe(family: &Family<AccountLabels, Histogram>, account: &str, time: Duration) {
         let labels = AccountLabels { account: account.to_owned() };
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -10,6 +10,7 @@
 use ledger::escrow::{Escrow, Fault, Reservation};
 use plan::routing::{Route, Table};
 use route::origin::Origins;
+use route::path::Path;
 use route::placement::Average;
 use route::poison::suspect::Suspects;
 use route::retry::{Limiter, Limits};
@@ -56,6 +57,8 @@
     pub roster: Rc<Roster>,
     /// Model of the queue at this instance's link, for admission.
     pub link_queue: RefCell<Queue>,
+    /// Evidence on this instance's path to the upstreams, by service.
+    pub paths: RefCell<HashMap<ServiceId, Path>>,
     /// Ratio of recent connects to upstreams that failed, 0 to 1.
     pub connect_failure_ratio: RefCell<Average>,
     /// Limits on the retries of each service.
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -3,7 +3,8 @@
 //! There are two ways to choose: [`fleet`] applies a policy of [`balancer`] to polled reports, and
 //! [`placement`] compares expected times. [`poison`] rejects requests that crash upstreams, and
 //! [`retry`] limits retries, and [`throttle`] the requests to an upstream that states a limit.
-//! [`origin`] finds the software version at which an interrupted stream may go on.
+//! [`origin`] finds the software version at which an interrupted stream may go on, and [`path`]
+//! tells whether the instance reaches the upstreams by connections of its own.
 
 pub mod balancer;
 pub mod cache;
@@ -12,6 +13,7 @@
 pub mod health;
 pub mod load;
 pub mod origin;
+pub mod path;
 pub mod placement;
 pub mod poison;
 pub mod polling;
