Serve callers of an instance that has lost its path through other instances

Cause: an instance had one way to an upstream, a connection of its own. It tried upstreams one after the other for 2 s (or 21 ms, when refused), and refused, while other instances reached all of them. Evidence: all failures at the partitioned instances are failed connects; the engines turned nobody away. Class: a failed connect is taken for the upstream's fault.

In doubt, or after 150 ms without a connection, another live instance is asked to connect (wire: connect), and the request goes through it as a stream of framed bytes (crate tunnel). Tokens, retries, deadline and outcome stay at the first instance; a lost hop is a connection that broke. Exits ask no third instance. If nobody has a path, requests are refused at once. While a service is silent, the path is checked, because the connections of a silent cut hang without a failed connect. This replaces the ratio of failed connects, which saw only connects.

--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -9,23 +9,19 @@
 use h1::{Conn, Framing, Request, Response};
 use ledger::escrow::Reservation;
 use plan::routing::{Kind, Route, Table};
+use route::path::State;
 use route::poison::suspect::{self, Admission, Crash, Suspect};
 use route::prefix;
-use slog::{info, warn};
+use slog::info;
 use thiserror::Error;
 use tokio::time::timeout;
 
 use crate::codec::{Metadata, Outbound, Statement};
+use crate::connect::{self, Opened, Verdict};
 use crate::fleet::Selection;
 use crate::upstream::{Entry, Flight, Upstream};
 use crate::{Front, Params, Refusal};
 
-/// Longest time for a connect to an upstream; several round trips within a region.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Ratio of failed connects from which this instance's network counts as faulty.
-///
-/// The upstreams are then not ejected for failed connects.
-const PATH_FAULT_RATIO: f64 = 0.5;
 /// Largest head of an answer from an upstream.
 const MAX_HEAD_BYTES: usize = 32 << 10;
 /// Most answers checked on one connection to find the one that matches the request.
@@ -128,6 +124,12 @@
     /// No connection could be opened, or the upstream is leaving; nothing was sent.
     #[error("no connection: {0}")]
     Connect(std::io::Error),
+    /// Neither this instance nor any that was asked has a path to the service; nothing was sent.
+    #[error("no path")]
+    NoPath,
+    /// The connection hangs, since this instance has lost its path to the upstream.
+    #[error("path lost")]
+    PathLost,
     /// The connection failed or the answer was unusable after the request was sent.
     #[error("broken: {0}")]
     Exchange(h1::Error),
@@ -225,7 +227,12 @@
             }
             let now = self.front.clock.now();
             let selection = self.select(now);
-            let Some(selection) = selection else { return Err(self.unavailable_refusal()) };
+            let Some(selection) = selection else {
+                if failed_connects > 0 {
+                    self.front.record_no_exit(&self.service);
+                }
+                return Err(self.unavailable_refusal());
+            };
             selection.upstream.record_request(|| self.front.roster.limit_share(), now);
             if self.sent_count == 0 && failed_connects == 0 {
                 self.record_request(now);
@@ -257,9 +264,13 @@
             };
             self.record_failure(&selection, &failure);
             self.tried_upstreams.push(id);
+            if matches!(failure, Failure::NoPath) {
+                return Err(self.no_path_refusal());
+            }
             if matches!(failure, Failure::Connect(_) | Failure::Unproven) {
                 failed_connects += 1;
                 if failed_connects >= MAX_CONNECT_FAILURES {
+                    self.front.record_no_exit(&self.service);
                     return Err(self.unavailable_refusal());
                 }
                 continue;
@@ -419,24 +430,21 @@
         let needs_proof = matches!(self.continuation, Continuation::Version(_));
         let idle = upstream.acquire_idle(needs_proof, now);
         let is_reused = idle.is_some();
-        let (mut conn, is_proven) = if let Some(idle) = idle {
-            idle
+        let opened = if let Some((conn, is_proven)) = idle {
+            Opened { conn, is_proven, is_tunnel: false }
         } else {
-            let is_proven = front.fleet.proves_connection(upstream, now);
-            if needs_proof && !is_proven {
+            if needs_proof && !front.fleet.proves_connection(upstream, now) {
                 return Err(Failure::Unproven);
             }
-            let connect_timeout = CONNECT_TIMEOUT.min(time_left);
-            let opened =
-                Conn::open(upstream.entry.address, connect_timeout, front.unacked_timeout).await;
-            front.record_connect(&upstream.entry, &opened);
-            let failed = if opened.is_err() { 1.0 } else { 0.0 };
-            front.connect_failure_ratio.borrow_mut().observe(failed, front.clock.now());
-            if opened.as_ref().is_err_and(|error| error.kind() == ErrorKind::ConnectionRefused) {
-                upstream.record_refusal(front.clock.now());
-            }
-            (opened.map_err(Failure::Connect)?, is_proven)
+            front.connect(upstream, time_left).await.map_err(|error| match error {
+                connect::Error::Upstream(error) => Failure::Connect(error),
+                connect::Error::Path => Failure::NoPath,
+            })?
         };
+        let Opened { mut conn, is_proven, is_tunnel } = opened;
+        if needs_proof && !is_proven {
+            return Err(Failure::Unproven);
+        }
         if upstream.leaving.get() {
             return Err(Failure::Connect(ErrorKind::NotConnected.into()));
         }
@@ -450,6 +458,7 @@
             &self.params,
             selection.cached_tokens,
             is_proven,
+            !is_tunnel,
             sent_at,
         );
         let message = self.encode_request(upstream, last_event_id);
@@ -462,9 +471,14 @@
         };
         self.first_sent_at.get_or_insert(sent_at);
         self.last_sent_at = sent_at;
-        let result = timeout(attempt_timeout, self.exchange(upstream, &mut conn, &message)).await;
+        let exchange = timeout(attempt_timeout, self.exchange(upstream, &mut conn, &message));
+        let result = tokio::select! {
+            biased;
+            result = exchange => result,
+            () = flight.wait_cut_off(), if may_send_more => return Err(Failure::PathLost),
+        };
         let (head, metadata, is_reusable) = match result {
-            Ok(Ok(exchanged)) => exchanged,
+            Ok(Ok((head, metadata, is_reusable))) => (head, metadata, is_reusable && !is_tunnel),
             Ok(Err(error)) => return Err(Failure::Exchange(error)),
             Err(_) => {
                 // Open connections can go silent together, and each would cost a request as much.
@@ -478,6 +492,7 @@
             return Err(Failure::Exchange(h1::Error::Malformed("a success without a signature")));
         }
         let now = front.clock.now();
+        flight.record_heard(now);
         if let Some((running, waiting, _)) = metadata.load {
             upstream.record_load(running, waiting, now);
         }
@@ -565,15 +580,17 @@
         let now = self.front.clock.now();
         let upstream = &selection.upstream;
         match failure {
-            Failure::Connect(_) => {
-                if self.front.connect_failure_ratio.borrow().value_at(now) < PATH_FAULT_RATIO {
+            Failure::Connect(error) => {
+                if self.front.path_state(&self.service) == State::Works
+                    || error.kind() == ErrorKind::HostUnreachable
+                {
                     upstream.eject(now);
                 }
             }
             // Another upstream uses the address now.
             Failure::NotRun(MISDIRECTED) => upstream.eject(now),
-            // The upstream is full, not faulty, and its answer has reported its load.
-            Failure::NotRun(_) | Failure::Unproven => {}
+            // The upstream is full, and its answer has reported its load, or the fault is not its own.
+            Failure::NotRun(_) | Failure::Unproven | Failure::NoPath | Failure::PathLost => {}
             Failure::Exchange(_) | Failure::Timeout | Failure::ServerError(_) => {
                 upstream.record_failure(now);
             }
@@ -596,19 +613,19 @@
         let front = &self.front;
         let entry = &upstream.entry;
         let run_id = format!("{}@{}", entry.id, entry.born);
-        let error = match Conn::open(entry.address, CONNECT_TIMEOUT, front.unacked_timeout).await {
+        let error = match front.verify(upstream).await {
             // The upstream still accepts connections: it lost an answer but did not crash.
-            Ok(conn) => {
-                let now = front.clock.now();
-                let is_proven = front.fleet.proves_connection(upstream, now);
-                return upstream.release(conn, is_proven, None, now);
+            Verdict::Up(Opened { conn, is_proven, .. }) => {
+                return upstream.release(conn, is_proven, None, front.clock.now());
             }
-            Err(error) => error,
+            Verdict::PathLost => {
+                info!(front.log, "connection lost with the path";
+                    "request" => self.params.request_id.as_ref(), "upstream" => entry.id.as_ref());
+                return;
+            }
+            Verdict::Down(error) => error,
         };
         let now = front.clock.now();
-        if error.kind() == ErrorKind::ConnectionRefused {
-            upstream.record_refusal(now);
-        }
         upstream.eject(now);
         info!(front.log, "upstream crashed"; "request" => self.params.request_id.as_ref(),
             "upstream" => entry.id.as_ref(), "error" => %error, "has_begun" => has_begun,
@@ -649,6 +666,13 @@
         wait.unwrap_or(UNAVAILABLE_RETRY)
     }
 
+    fn no_path_refusal(&self) -> Refusal {
+        if self.may_have_run {
+            return Refusal::unknown(502, "path_lost");
+        }
+        Refusal::not_run(503, "no_path").retry_after(UNAVAILABLE_RETRY)
+    }
+
     fn unavailable_refusal(&self) -> Refusal {
         if self.may_have_run {
             return Refusal::unknown(502, "upstream_failed");
@@ -665,27 +689,6 @@
     }
 }
 
-impl Front {
-    /// Records the result of a connect as evidence on this instance's path to the service.
-    fn record_connect<T>(&self, entry: &Entry, connected: &std::io::Result<T>) {
-        self.metrics.count_connect(&entry.service, connected);
-        let mut paths = self.paths.borrow_mut();
-        let path = paths.entry(Arc::clone(&entry.service)).or_default();
-        if let Err(error) = connected {
-            let upstream_count = self.fleet.service_size(&entry.service);
-            if path.record_failure(&entry.id, upstream_count, self.clock.now()) {
-                let failed: Vec<&str> = path.failed().map(|id| &**id).collect();
-                warn!(self.log, "path in doubt"; "service" => entry.service.as_ref(),
-                    "failed" => failed.join(" "), "upstreams" => upstream_count,
-                    "error" => %error);
-            }
-        } else if path.record_connected() {
-            info!(self.log, "path regained"; "service" => entry.service.as_ref(),
-                "upstream" => entry.id.as_ref());
-        }
-    }
-}
-
 impl Answer {
     /// Records the time since the request was sent, divided by the expected time.
     pub fn record_slowness(&self, now: Duration) {
--- a/crates/front/src/fleet.rs
+++ b/crates/front/src/fleet.rs
@@ -108,6 +108,24 @@
         self.upstreams.borrow().values().map(Rc::clone).collect()
     }
 
+    /// Returns the listed upstream with this id.
+    #[must_use]
+    pub fn find(&self, id: &str) -> Option<Rc<Upstream>> {
+        self.upstreams.borrow().get(id).map(Rc::clone)
+    }
+
+    /// Returns the listed upstreams of each service.
+    #[must_use]
+    pub fn upstreams_by_service(&self) -> Vec<Vec<Rc<Upstream>>> {
+        self.services.borrow().values().cloned().collect()
+    }
+
+    /// Returns the listed upstreams of a service.
+    #[must_use]
+    pub fn service_upstreams(&self, service: &str) -> Vec<Rc<Upstream>> {
+        self.services.borrow().get(service).cloned().unwrap_or_default()
+    }
+
     /// Returns the number of listed upstreams of a service.
     #[must_use]
     pub fn service_size(&self, service: &str) -> usize {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -2,12 +2,13 @@
 //!
 //! A request passes these steps, each in its own module: [`listener`] reads its head, [`serve`]
 //! reads its body, finds its route and client account and reserves tokens, [`dispatch`] sends it to
-//! an upstream, [`relay`] returns the answer. [`fleet`] holds the upstreams and [`roster`] the
+//! an upstream over a connection of [`connect`], [`relay`] returns the answer. [`fleet`] holds the upstreams and [`roster`] the
 //! other instances. [`Codec`] hides the names of a deployment's header fields.
 //!
 //! All of this runs on one thread, because an instance has only a part of one core.
 
 pub mod codec;
+pub mod connect;
 pub mod dispatch;
 pub mod fleet;
 pub mod link;
@@ -23,6 +24,7 @@
 pub mod upstream;
 
 pub use crate::codec::Codec;
+pub use crate::connect::Tunnels;
 pub use crate::fleet::Fleet;
 pub use crate::params::Params;
 pub use crate::refusal::Refusal;
--- a/crates/front/src/metric.rs
+++ b/crates/front/src/metric.rs
@@ -8,6 +8,7 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
+use tunnel::Obstacle;
 
 /// Upper bound of the first bucket of a histogram.
 const FIRST_BUCKET_SECONDS: f64 = 0.002;
@@ -35,7 +36,7 @@
 pub struct ConnectLabels {
     /// Service of the upstream.
     pub service: String,
-    /// `ok`, `refused`, `timeout` or `failed`.
+    /// `ok`, or why there is no connection.
     pub result: &'static str,
 }
 
@@ -47,6 +48,8 @@
     pub requests: Family<RequestLabels, Counter>,
     /// Connects to upstreams by service and result.
     pub connects: Family<ConnectLabels, Counter>,
+    /// Tunnels through other instances by service and result.
+    pub tunnels: Family<ConnectLabels, Counter>,
     /// Time from arrival to the first event of a stream.
     pub first_byte_seconds: Family<AccountLabels, Histogram>,
     /// Time from arrival to the end of an answer.
@@ -66,10 +69,12 @@
         let mut registry = Registry::with_prefix("lacewing");
         let requests = Family::default();
         let connects = Family::default();
+        let tunnels = Family::default();
         let first_byte_seconds = Family::new_with_constructor(histogram as fn() -> Histogram);
         let whole_answer_seconds = Family::new_with_constructor(histogram as fn() -> Histogram);
         registry.register("requests", "Requests by route and outcome", requests.clone());
         registry.register("connects", "Connects to upstreams", connects.clone());
+        registry.register("tunnels", "Tunnels through other instances", tunnels.clone());
         registry.register(
             "first_byte_seconds",
             "Time from arrival to the first event of a stream",
@@ -84,7 +89,16 @@
         peer.register(&mut registry);
         let store = watch::store::Counters::default();
         store.register(&mut registry);
-        Self { registry, requests, connects, first_byte_seconds, whole_answer_seconds, peer, store }
+        Self {
+            registry,
+            requests,
+            connects,
+            tunnels,
+            first_byte_seconds,
+            whole_answer_seconds,
+            peer,
+            store,
+        }
     }
 }
 
@@ -106,6 +120,16 @@
         self.connects.get_or_create(&ConnectLabels { service: service.to_owned(), result }).inc();
     }
 
+    /// Counts a tunnel to an upstream of a service.
+    pub fn count_tunnel<T>(&self, service: &str, connected: &Result<T, Obstacle>) {
+        let result = match connected {
+            Ok(_) => "ok",
+            Err(Obstacle::Upstream | Obstacle::Unlisted) => "upstream",
+            Err(Obstacle::Path | Obstacle::Busy | Obstacle::Silent) => "path",
+        };
+        self.tunnels.get_or_create(&ConnectLabels { service: service.to_owned(), result }).inc();
+    }
+
     /// Adds the time of an account's request to a histogram.
     pub fn observe(family: &Family<AccountLabels, Histogram>, account: &str, time: Duration) {
         let labels = AccountLabels { account: account.to_owned() };
--- a/crates/front/src/roster.rs
+++ b/crates/front/src/roster.rs
@@ -245,6 +245,18 @@
         self.listed.borrow().iter().map(|name| name.as_str().into()).collect()
     }
 
+    /// Returns the names of the other live instances that keep a row and stay.
+    #[must_use]
+    pub fn live_instances(&self) -> Vec<InstanceId> {
+        let members = self.members.borrow();
+        let ranked = self.ranked(&members).into_iter().map(|(name, _)| name);
+        let others = ranked.filter(|name| ***name != *self.identity.instance);
+        others
+            .filter(|name| members[*name].is_verified())
+            .map(|name| name.as_str().into())
+            .collect()
+    }
+
     /// Returns the IP address of an instance, `None` if its row is not known.
     #[must_use]
     pub fn host(&self, instance: &str) -> Option<IpAddr> {
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -11,11 +11,11 @@
 use plan::routing::{Route, Table};
 use route::origin::Origins;
 use route::path::Path;
-use route::placement::Average;
 use route::poison::suspect::Suspects;
 use route::retry::{Limiter, Limits};
 use slog::{Logger, info};
 
+use crate::connect::Tunnels;
 use crate::dispatch::Call;
 use crate::link::Queue;
 use crate::metric::Metrics;
@@ -59,8 +59,8 @@
     pub link_queue: RefCell<Queue>,
     /// Evidence on this instance's path to the upstreams, by service.
     pub paths: RefCell<HashMap<ServiceId, Path>>,
-    /// Ratio of recent connects to upstreams that failed, 0 to 1.
-    pub connect_failure_ratio: RefCell<Average>,
+    /// Tunnels through other instances; `None` without links to them.
+    pub tunnels: Option<Tunnels>,
     /// Limits on the retries of each service.
     pub retry_limits: Limits,
     /// Requests and retries that count against the limits, by service.
--- a/crates/front/src/stop.rs
+++ b/crates/front/src/stop.rs
@@ -29,7 +29,7 @@
     let mut quiet_since = now();
     while now() < end_at {
         front.is_draining.set(now().saturating_sub(started_at) >= ADMIT_TIME);
-        if front.in_flight_requests.get() > 0 {
+        if front.in_flight_requests.get() > 0 || front.carried_tunnels() > 0 {
             quiet_since = now();
         }
         if front.is_draining.get() && now().saturating_sub(quiet_since) >= QUIET_TIME {
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -11,6 +11,7 @@
 use route::prefix::Hash;
 use route::throttle::Throttle;
 use slotmap::{SlotMap, new_key_type};
+use tokio::sync::Notify;
 
 use crate::params::{Params, Part};
 
@@ -77,6 +78,8 @@
     last_progress_at: Duration,
     /// Prompt tokens that the upstream still has to process; 0 after its first event.
     unprocessed_tokens: Tokens,
+    /// Whether the request was sent over a connection of this instance.
+    is_direct: bool,
 }
 
 /// State of one incarnation of an upstream.
@@ -100,6 +103,12 @@
     ejection: Cell<(Duration, Duration)>,
     /// When a connect was last refused, which shows that the listed incarnation may have ended.
     refused_at: Cell<Option<Duration>>,
+    /// When bytes last arrived over a connection of this instance.
+    heard_at: Cell<Duration>,
+    /// When the path to the upstream was last checked.
+    checked_at: Cell<Option<Duration>>,
+    /// Wakes the requests whose connection hangs, because the path is cut.
+    cut_off: Notify,
     idle: RefCell<Vec<Idle>>,
     /// Time of the last use of each prompt part, by its prefix hash.
     cached_parts: RefCell<HashMap<Hash, Duration>>,
@@ -124,6 +133,9 @@
             failure_ratio: RefCell::new(Average::open(0.0)),
             ejection: Cell::default(),
             refused_at: Cell::default(),
+            heard_at: Cell::default(),
+            checked_at: Cell::default(),
+            cut_off: Notify::new(),
             idle: RefCell::default(),
             cached_parts: RefCell::default(),
         }
@@ -320,6 +332,36 @@
         idle.push(Idle { conn, is_proven, expires_at });
     }
 
+    /// Returns when bytes last arrived over a connection of this instance.
+    #[must_use]
+    pub fn heard_at(&self) -> Duration {
+        self.heard_at.get()
+    }
+
+    /// Returns the longest time for which a request on a connection of this instance got no bytes.
+    #[must_use]
+    pub fn direct_silence(&self, now: Duration) -> Duration {
+        let flights = self.flights.borrow();
+        let direct = flights.values().filter(|flight| flight.is_direct);
+        let oldest = direct.map(|flight| flight.last_progress_at).min();
+        oldest.map_or(Duration::ZERO, |at| now.saturating_sub(at))
+    }
+
+    /// Returns true, and notes a check of the path, if the last one is at least `interval` ago.
+    pub fn start_check(&self, now: Duration, interval: Duration) -> bool {
+        let is_due = self.checked_at.get().is_none_or(|at| now >= at + interval);
+        if is_due {
+            self.checked_at.set(Some(now));
+        }
+        is_due
+    }
+
+    /// Gives up the connections of this instance, because they hang.
+    pub fn cut_off(&self) {
+        self.close_idle();
+        self.cut_off.notify_waiters();
+    }
+
     /// Closes all idle connections.
     pub fn close_idle(&self) {
         self.idle.borrow_mut().clear();
@@ -338,27 +380,32 @@
     key: FlightKey,
     /// Whether the connection certainly leads to the listed incarnation.
     is_proven: bool,
+    /// Whether the connection is one of this instance.
+    is_direct: bool,
 }
 
 impl Flight {
     /// Counts a request whose leading `cached_tokens` are assumed cached.
     ///
-    /// `is_proven` tells whether its connection leads certainly to the listed incarnation.
+    /// `is_proven` tells whether its connection leads certainly to the listed incarnation, and
+    /// `is_direct` whether it is one of this instance.
     #[must_use]
     pub fn open(
         upstream: Rc<Upstream>,
         params: &Params,
         cached_tokens: Tokens,
         is_proven: bool,
+        is_direct: bool,
         now: Duration,
     ) -> Self {
         let prompt_tokens = params.generation.map_or(0, |generation| generation.prompt_tokens);
         let flight = InFlight {
             last_progress_at: now,
             unprocessed_tokens: prompt_tokens.saturating_sub(cached_tokens),
+            is_direct,
         };
         let key = upstream.flights.borrow_mut().insert(flight);
-        Self { upstream, key, is_proven }
+        Self { upstream, key, is_proven, is_direct }
     }
 
     /// Returns the upstream that runs the request.
@@ -381,8 +428,25 @@
     /// Records that an event has arrived, before which the whole prompt was processed.
     pub fn record_progress(&self, now: Duration) {
         if let Some(flight) = self.upstream.flights.borrow_mut().get_mut(self.key) {
-            *flight = InFlight { last_progress_at: now, unprocessed_tokens: 0 };
+            flight.last_progress_at = now;
+            flight.unprocessed_tokens = 0;
+        }
+        self.record_heard(now);
+    }
+
+    /// Records that bytes have arrived.
+    pub fn record_heard(&self, now: Duration) {
+        if self.is_direct {
+            self.upstream.heard_at.set(now);
+        }
+    }
+
+    /// Waits until the connection is given up, because this instance has lost its path.
+    pub async fn wait_cut_off(&self) {
+        if !self.is_direct {
+            std::future::pending::<()>().await;
         }
+        self.upstream.cut_off.notified().await;
     }
 }
 
--- a/crates/h1/src/conn.rs
+++ b/crates/h1/src/conn.rs
@@ -9,6 +9,7 @@
 use tokio::io::Interest;
 use tokio::net::TcpStream;
 
+use crate::frame;
 use crate::head::Framing;
 use crate::{Body, Error, Response};
 
@@ -34,6 +35,8 @@
     pub input: BytesMut,
     /// Bytes that were read without a pause for the other tasks of the thread.
     unpaused_bytes: usize,
+    /// Decoder of the input; `None` if the peer sends it without frames.
+    frames: Option<frame::Decoder>,
 }
 
 impl Conn {
@@ -48,7 +51,7 @@
         stream.set_nodelay(true)?;
         let user_timeout = u32::try_from(user_timeout.as_millis()).unwrap_or(u32::MAX);
         sockopt::set_tcp_user_timeout(&stream, user_timeout)?;
-        Ok(Self { stream, input: BytesMut::new(), unpaused_bytes: 0 })
+        Ok(Self { stream, input: BytesMut::new(), unpaused_bytes: 0, frames: None })
     }
 
     /// Connects to an address; see [`Self::from_stream`] for `user_timeout`.
@@ -67,12 +70,28 @@
         Self::from_stream(stream, user_timeout)
     }
 
+    /// Expects frames in the input, so that a close within the stream is an error.
+    #[must_use]
+    pub fn framed(mut self) -> Self {
+        self.frames = Some(frame::Decoder::default());
+        self
+    }
+
+    /// Returns the socket; bytes that were read and not decoded are lost.
+    #[must_use]
+    pub fn into_stream(self) -> TcpStream {
+        self.stream
+    }
+
     /// Waits for input and returns the bytes added; 0 means that the peer closed.
     ///
     /// # Errors
     ///
     /// Returns an error if the peer reset the connection or the read failed.
     pub async fn fill_input(&mut self) -> io::Result<usize> {
+        if self.frames.as_ref().is_some_and(frame::Decoder::has_ended) {
+            return Ok(0);
+        }
         if self.unpaused_bytes >= MAX_UNPAUSED_BYTES {
             self.unpaused_bytes = 0;
             tokio::task::yield_now().await;
@@ -90,8 +109,21 @@
     }
 
     fn try_read(&mut self) -> io::Result<usize> {
-        self.input.reserve(READ_RESERVE_BYTES);
-        self.stream.try_read_buf(&mut self.input)
+        let Some(frames) = &mut self.frames else {
+            self.input.reserve(READ_RESERVE_BYTES);
+            return self.stream.try_read_buf(&mut self.input);
+        };
+        while !frames.has_ended() {
+            frames.input.reserve(READ_RESERVE_BYTES);
+            if self.stream.try_read_buf(&mut frames.input)? == 0 {
+                return Err(io::ErrorKind::ConnectionReset.into());
+            }
+            let count = frames.decode(&mut self.input);
+            if count > 0 {
+                return Ok(count);
+            }
+        }
+        Ok(0)
     }
 
     /// Waits for more input of a body, or passes the close to its decoder.
--- a/crates/h1/src/lib.rs
+++ b/crates/h1/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod body;
 pub mod conn;
 pub mod error;
+pub mod frame;
 pub mod head;
 
 pub use crate::body::Body;
--- /dev/null
+++ b/crates/tunnel/src/exit.rs
@@ -0,0 +1,172 @@
+//! The end of a tunnel at the instance that reaches the upstream.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io;
+use std::rc::Rc;
+
+use base::prelude::*;
+use bytes::BytesMut;
+use futures::future::{self, Either};
+use h1::{Conn, frame};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, timeout};
+
+/// Most connections that are held or carried at once.
+const MAX_TUNNELS: usize = 256;
+/// Time for which a connection is held until its ticket arrives.
+const TICKET_LIFETIME: Duration = Duration::from_secs(1);
+/// Length of a ticket in bytes.
+const TICKET_BYTES: usize = 16;
+/// Most bytes of one frame.
+const FRAME_BYTES: usize = 16 << 10;
+/// Longest wait for the other instance to close a tunnel whose stream has ended.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
+/// Pause after a failed accept, for example for lack of file descriptors.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// Secret with which another instance claims a connection.
+pub type Ticket = [u8; TICKET_BYTES];
+
+/// Holds connections to upstreams for other instances, and carries their bytes.
+#[derive(Debug)]
+pub struct Exit {
+    held: RefCell<HashMap<Ticket, TcpStream>>,
+    carried: Cell<usize>,
+    unacked_timeout: Duration,
+}
+
+/// Guard that counts a tunnel until the guard is dropped.
+struct Carried<'a>(&'a Exit);
+
+impl Drop for Carried<'_> {
+    fn drop(&mut self) {
+        self.0.carried.set(self.0.carried.get() - 1);
+    }
+}
+
+impl Exit {
+    /// Accepts tunnels on a listening socket until the thread ends.
+    ///
+    /// Sent bytes that stay unacknowledged for `unacked_timeout` end a tunnel.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the socket cannot be switched to nonblocking operation.
+    pub fn spawn(
+        listener: std::net::TcpListener,
+        unacked_timeout: Duration,
+    ) -> io::Result<Rc<Self>> {
+        listener.set_nonblocking(true)?;
+        let listener = TcpListener::from_std(listener)?;
+        let exit =
+            Rc::new(Self { held: RefCell::default(), carried: Cell::new(0), unacked_timeout });
+        ntex::rt::spawn(Rc::clone(&exit).accept(listener));
+        Ok(exit)
+    }
+
+    /// Returns true if no further connection can be held.
+    #[must_use]
+    pub fn is_full(&self) -> bool {
+        self.held.borrow().len() + self.carried.get() >= MAX_TUNNELS
+    }
+
+    /// Returns how many tunnels are open; each carries one request.
+    #[must_use]
+    pub fn carried(&self) -> usize {
+        self.carried.get()
+    }
+
+    /// Holds a connection to an upstream until its ticket arrives, for a second at most.
+    pub fn hold(self: &Rc<Self>, upstream: Conn) -> Ticket {
+        let ticket: Ticket = rand::random();
+        self.held.borrow_mut().insert(ticket, upstream.into_stream());
+        let exit = Rc::clone(self);
+        ntex::rt::spawn(async move {
+            sleep(TICKET_LIFETIME).await;
+            exit.held.borrow_mut().remove(&ticket);
+        });
+        ticket
+    }
+
+    async fn accept(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                sleep(ACCEPT_RETRY_DELAY).await;
+                continue;
+            };
+            if self.is_full() {
+                continue;
+            }
+            let exit = Rc::clone(&self);
+            ntex::rt::spawn(async move { exit.serve(stream).await });
+        }
+    }
+
+    async fn serve(&self, stream: TcpStream) {
+        let Ok(conn) = Conn::from_stream(stream, self.unacked_timeout) else { return };
+        let mut stream = conn.into_stream();
+        let mut ticket = Ticket::default();
+        if !matches!(timeout(TICKET_LIFETIME, stream.read_exact(&mut ticket)).await, Ok(Ok(_))) {
+            return;
+        }
+        let Some(upstream) = self.held.borrow_mut().remove(&ticket) else { return };
+        self.carried.set(self.carried.get() + 1);
+        let _carried = Carried(self);
+        carry(upstream, stream).await;
+    }
+}
+
+/// Copies bytes until the upstream has ended its stream, or one side has failed.
+///
+/// The frame that ends the stream is left out after a failure.
+async fn carry(mut upstream: TcpStream, mut caller: TcpStream) {
+    let (from_upstream, to_upstream) = upstream.split();
+    let (mut from_caller, mut to_caller) = caller.split();
+    let has_ended = {
+        let requesting = std::pin::pin!(copy_request(&mut from_caller, to_upstream));
+        let answering = std::pin::pin!(copy_answer(from_upstream, &mut to_caller));
+        match future::select(requesting, answering).await {
+            Either::Left(((), _)) => false,
+            Either::Right((result, _)) => result.is_ok(),
+        }
+    };
+    if has_ended && to_caller.shutdown().await.is_ok() {
+        // A close with unread bytes would reset the connection, and lose the end of the stream.
+        let mut rest = [0; 1 << 10];
+        let drain = async { while matches!(from_caller.read(&mut rest).await, Ok(1..)) {} };
+        // The tunnel is closed in any case.
+        drop(timeout(LINGER_TIMEOUT, drain).await);
+    }
+}
+
+/// Copies bytes to the upstream until the other instance closes the tunnel.
+async fn copy_request(from_caller: &mut ReadHalf<'_>, mut to_upstream: WriteHalf<'_>) {
+    let mut buffer = BytesMut::with_capacity(FRAME_BYTES);
+    let mut is_broken = false;
+    while matches!(from_caller.read_buf(&mut buffer).await, Ok(1..)) {
+        // The upstream may have answered before it closed, so the answer is still carried.
+        is_broken = is_broken || to_upstream.write_all(&buffer).await.is_err();
+        buffer.clear();
+    }
+}
+
+/// Copies bytes from the upstream in frames, with one at the end that ends the stream.
+async fn copy_answer(
+    mut from_upstream: ReadHalf<'_>,
+    to_caller: &mut WriteHalf<'_>,
+) -> io::Result<()> {
+    let mut buffer = BytesMut::with_capacity(frame::HEADER_BYTES + FRAME_BYTES);
+    loop {
+        buffer.clear();
+        buffer.extend_from_slice(&frame::header(0)?);
+        let count = from_upstream.read_buf(&mut buffer).await?;
+        buffer[..frame::HEADER_BYTES].copy_from_slice(&frame::header(count)?);
+        to_caller.write_all(&buffer).await?;
+        if count == 0 {
+            return Ok(());
+        }
+    }
+}
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -38,6 +38,7 @@
     take @1 :Take;
     fetch @2 :Fetch;
     probe @3 :Probe;
+    connect @4 :Connect;
   }
 }
 
@@ -48,6 +49,8 @@
     document @2 :Document;
     reached @3 :Bool;
     refused @4 :Text;
+    tunnel @5 :Tunnel;
+    obstacle @6 :Obstacle;
   }
 }
 
@@ -103,3 +106,20 @@
 struct Probe {
   peerAddress @0 :Text;
 }
+
+struct Connect {
+  upstream @0 :Text;
+  incarnation @1 :UInt64;
+}
+
+struct Tunnel {
+  ticket @0 :Data;
+  proven @1 :Bool;
+}
+
+enum Obstacle {
+  path @0;
+  upstream @1;
+  unlisted @2;
+  busy @3;
+}
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -4,7 +4,9 @@
 use capnp::serialize;
 
 use crate::generated::peer_capnp as schema;
-use crate::message::{Document, Fetch, Gossip, Member, Record, Reply, Request, State, Take};
+use crate::message::{
+    Connect, Document, Fetch, Gossip, Member, Obstacle, Record, Reply, Request, State, Take, Tunnel,
+};
 use crate::{Error, MAX_MESSAGE_WORDS};
 
 /// Most entries of a list: longer lists are truncated when sent, rejected when received.
@@ -28,6 +30,11 @@
             out.set_key(fetch.key.as_str());
         }
         Request::Probe(address) => root.init_probe().set_peer_address(address.as_str()),
+        Request::Connect(connect) => {
+            let mut out = root.init_connect();
+            out.set_upstream(connect.upstream.as_str());
+            out.set_incarnation(connect.incarnation);
+        }
     }
     serialize::write_message_to_words(&message)
 }
@@ -46,6 +53,17 @@
         }
         Reply::Reached(reached) => root.set_reached(*reached),
         Reply::Refused(reason) => root.set_refused(reason.as_str()),
+        Reply::Tunnel(tunnel) => {
+            let mut out = root.init_tunnel();
+            out.set_ticket(&tunnel.ticket);
+            out.set_proven(tunnel.is_proven);
+        }
+        Reply::Obstacle(obstacle) => root.set_obstacle(match obstacle {
+            Obstacle::Path => schema::Obstacle::Path,
+            Obstacle::Upstream => schema::Obstacle::Upstream,
+            Obstacle::Unlisted => schema::Obstacle::Unlisted,
+            Obstacle::Busy => schema::Obstacle::Busy,
+        }),
     }
     serialize::write_message_to_words(&message)
 }
@@ -76,6 +94,13 @@
             Request::Fetch(Fetch { newer_than: fetch.get_newer_than(), key })
         }
         schema::request::Probe(probe) => Request::Probe(decode_text(probe?.get_peer_address()?)?),
+        schema::request::Connect(connect) => {
+            let connect = connect?;
+            Request::Connect(Connect {
+                upstream: decode_text(connect.get_upstream()?)?,
+                incarnation: connect.get_incarnation(),
+            })
+        }
     })
 }
 
@@ -93,6 +118,21 @@
         }
         schema::reply::Reached(reached) => Reply::Reached(reached),
         schema::reply::Refused(reason) => Reply::Refused(decode_text(reason?)?),
+        schema::reply::Tunnel(tunnel) => {
+            let tunnel = tunnel?;
+            let ticket = tunnel.get_ticket()?.try_into();
+            let ticket =
+                ticket.map_err(|_length| Error::Malformed("the length of a ticket".into()))?;
+            Reply::Tunnel(Tunnel { ticket, is_proven: tunnel.get_proven() })
+        }
+        schema::reply::Obstacle(obstacle) => {
+            Reply::Obstacle(match obstacle.map_err(not_in_schema)? {
+                schema::Obstacle::Path => Obstacle::Path,
+                schema::Obstacle::Upstream => Obstacle::Upstream,
+                schema::Obstacle::Unlisted => Obstacle::Unlisted,
+                schema::Obstacle::Busy => Obstacle::Busy,
+            })
+        }
     })
 }
 
--- a/crates/wire/src/handler.rs
+++ b/crates/wire/src/handler.rs
@@ -1,9 +1,10 @@
 //! Interface to the program that answers the calls of peers.
 
 use base::prelude::*;
-use futures::future::LocalBoxFuture;
+use futures::FutureExt;
+use futures::future::{LocalBoxFuture, ready};
 
-use crate::message::{Document, Fetch, Gossip, Identity, Take};
+use crate::message::{Connect, Document, Fetch, Gossip, Identity, Obstacle, Take, Tunnel};
 
 /// Future reply to a call; an error is the reason of a refusal.
 ///
@@ -25,4 +26,9 @@
 
     /// Returns true if a third instance answers; serves the caller's indirect probe.
     fn probe(&self, from: Identity, peer_address: String) -> Pending<'_, bool>;
+
+    /// Connects to an upstream for the caller; refused unless the program carries tunnels.
+    fn connect(&self, _from: Identity, _connect: Connect) -> Pending<'_, Result<Tunnel, Obstacle>> {
+        ready(Err("tunnels are not carried here".into())).boxed_local()
+    }
 }
--- a/crates/wire/src/listener.rs
+++ b/crates/wire/src/listener.rs
@@ -258,6 +258,11 @@
             Request::Take(take) => self.handler.take(from, take).await.map(Reply::Taken),
             Request::Fetch(fetch) => self.handler.fetch(from, fetch).await.map(Reply::Document),
             Request::Probe(address) => self.handler.probe(from, address).await.map(Reply::Reached),
+            Request::Connect(connect) => self
+                .handler
+                .connect(from, connect)
+                .await
+                .map(|connected| connected.map_or_else(Reply::Obstacle, Reply::Tunnel)),
         };
         answer.unwrap_or_else(Reply::Refused)
     }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -107,6 +107,40 @@
     pub body: Vec<u8>,
 }
 
+/// Length of a [`Tunnel::ticket`] in bytes.
+pub const TICKET_BYTES: usize = 16;
+
+/// A request for a connection to an upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Connect {
+    /// Id of the upstream, under which the peer finds its address.
+    pub upstream: String,
+    /// Start of the upstream that is meant; another one is not connected to.
+    pub incarnation: Incarnation,
+}
+
+/// A connection to an upstream that the peer holds for the caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Tunnel {
+    /// Secret with which the caller claims the connection.
+    pub ticket: [u8; TICKET_BYTES],
+    /// Whether the connection leads certainly to the incarnation that was requested.
+    pub is_proven: bool,
+}
+
+/// Why a peer has not connected to an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Obstacle {
+    /// The peer has no path to the upstreams of the service either.
+    Path,
+    /// The peer reaches other upstreams of the service, but not this one.
+    Upstream,
+    /// The peer does not list this incarnation of the upstream.
+    Unlisted,
+    /// The peer is stopping, or has too many tunnels.
+    Busy,
+}
+
 /// A request from one instance to another.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Request {
@@ -118,6 +152,8 @@
     Fetch(Fetch),
     /// Indirect probe of the instance with this peer address, answered with [`Reply::Reached`].
     Probe(String),
+    /// Request for a connection, answered with [`Reply::Tunnel`] or [`Reply::Obstacle`].
+    Connect(Connect),
 }
 
 /// The answer to a [`Request`].
@@ -131,6 +167,10 @@
     Document(Document),
     /// True if the probed instance answered.
     Reached(bool),
+    /// Connection that the peer holds for a short time.
+    Tunnel(Tunnel),
+    /// Why there is no connection.
+    Obstacle(Obstacle),
     /// Reason of a refusal; the call had no effect.
     Refused(String),
 }
