Keep brittle engines from falling over: divide their slots and rejections among the instances

route::brittle admits a request to a brittle upstream within this instance's part of the slots, as long as no report speaks of waiting requests or short memory, and else only while its rejection would be within its part of the N rejections. Parts differ for each upstream by rendezvous rank, so that less than one for each instance can be divided. Requests that no upstream admits are refused at once.

--- a/crates/front/src/codec.rs
+++ b/crates/front/src/codec.rs
@@ -55,6 +55,8 @@
     pub pause: Option<Duration>,
     /// Requests per second that the upstream accepts from all instances together.
     pub limit_per_s: Option<f64>,
+    /// Requests per second that a brittle upstream can turn away; `None` if it is not brittle.
+    pub brittle_limit: Option<usize>,
 }
 
 /// Decodes and encodes the header fields of a deployment.
--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -241,6 +241,9 @@
             let failure = match self.attempt(&selection, last_event_id, time_left).await {
                 Ok(answer) if answer.metadata.is_not_run => {
                     let status = answer.head.status;
+                    if status != MISDIRECTED {
+                        selection.upstream.record_rejection(self.front.clock.now());
+                    }
                     self.recycle(answer).await;
                     Failure::NotRun(status)
                 }
@@ -291,7 +294,16 @@
     /// Selects the upstream of the next attempt; `None` if there is none.
     fn select(&self, now: Duration) -> Option<Selection> {
         let front = &self.front;
+        let brittle_limit = front.fleet.brittle_limit(&self.service);
+        let is_generation = self.params.generation.is_some();
+        let has_room = |upstream: &Upstream| {
+            brittle_limit.is_none_or(|limit| {
+                let rank = front.roster.rank(&upstream.entry.id);
+                upstream.admits_brittle(limit, rank, is_generation, now)
+            })
+        };
         let select = |admits: &dyn Fn(&Upstream) -> bool| {
+            let admits = |upstream: &Upstream| admits(upstream) && has_room(upstream);
             front.fleet.select(&self.service, &self.params, &self.tried_upstreams, admits, now)
         };
         let is_announced =
@@ -492,7 +504,7 @@
             return Err(Failure::Exchange(h1::Error::Malformed("a success without a signature")));
         }
         let now = front.clock.now();
-        flight.record_heard(now);
+        flight.record_answered(now);
         if let Some((running, waiting, _)) = metadata.load {
             upstream.record_load(running, waiting, now);
         }
@@ -552,7 +564,7 @@
 
     /// Applies what an answer states about its upstream.
     fn apply_statement(&self, upstream: &Upstream, metadata: &Metadata) {
-        let Statement { is_leaving, pause, limit_per_s } = metadata.statement;
+        let Statement { is_leaving, pause, limit_per_s, brittle_limit } = metadata.statement;
         let now = self.front.clock.now();
         let share = limit_per_s.map_or(0.0, |_| self.front.roster.limit_share());
         // A refusal need not repeat the limit, so it does not lift one.
@@ -563,6 +575,11 @@
                 "upstream" => upstream.entry.id.as_ref(), "limit_per_s" => limit_per_s,
                 "share" => share, "request" => self.params.request_id.as_ref());
         }
+        if self.front.fleet.record_brittle(&upstream.entry.service, brittle_limit) {
+            info!(self.front.log, "upstreams changed between brittle and sound";
+                "service" => upstream.entry.service.as_ref(), "limit" => brittle_limit,
+                "request" => self.params.request_id.as_ref());
+        }
         if is_leaving && upstream.record_leaving() {
             info!(self.front.log, "upstream leaves"; "upstream" => upstream.entry.id.as_ref(),
                 "request" => self.params.request_id.as_ref());
--- a/crates/front/src/fleet.rs
+++ b/crates/front/src/fleet.rs
@@ -53,6 +53,8 @@
     services: RefCell<HashMap<ServiceId, Vec<Rc<Upstream>>>>,
     /// Most requests of this instance in flight at one upstream, by service.
     connection_limits: RefCell<HashMap<ServiceId, usize>>,
+    /// Rejections per second that an upstream of a brittle service can bear.
+    brittle_limits: RefCell<HashMap<ServiceId, usize>>,
     version: Cell<u64>,
     /// When the list was last known to be complete; `None` while the store does not answer.
     confirmed_at: Cell<Option<Duration>>,
@@ -67,6 +69,7 @@
             upstreams: RefCell::default(),
             services: RefCell::default(),
             connection_limits: RefCell::default(),
+            brittle_limits: RefCell::default(),
             version: Cell::new(0),
             confirmed_at: Cell::default(),
         }
@@ -108,6 +111,26 @@
         self.upstreams.borrow().values().map(Rc::clone).collect()
     }
 
+    /// Applies what an answer states about all upstreams of a service; `None` if they are sound.
+    ///
+    /// Returns true if the statement has changed.
+    pub fn record_brittle(&self, service: &ServiceId, limit: Option<usize>) -> bool {
+        let mut limits = self.brittle_limits.borrow_mut();
+        let last = match limit {
+            Some(limit) => limits.insert(Arc::clone(service), limit),
+            None => limits.remove(service),
+        };
+        last != limit
+    }
+
+    /// Returns the rejections per second that an upstream of the service can bear.
+    ///
+    /// `None` if the upstreams are not brittle.
+    #[must_use]
+    pub fn brittle_limit(&self, service: &str) -> Option<usize> {
+        self.brittle_limits.borrow().get(service).copied()
+    }
+
     /// Returns the listed upstream with this id.
     #[must_use]
     pub fn find(&self, id: &str) -> Option<Rc<Upstream>> {
--- a/crates/front/src/roster.rs
+++ b/crates/front/src/roster.rs
@@ -29,6 +29,7 @@
 use base::prelude::*;
 use futures::FutureExt;
 use futures::future::{join, join_all};
+use route::brittle::Rank;
 use route::prefix;
 use serde::{Deserialize, Serialize};
 use slog::{Logger, info, warn};
@@ -312,6 +313,21 @@
         }
     }
 
+    /// Returns the rank of this instance among the listed ones, which differs for each upstream.
+    ///
+    /// Instances that are not listed have no rank; callers with old addresses use them.
+    #[must_use]
+    pub fn rank(&self, upstream: &str) -> Rank {
+        let listed = self.listed.borrow();
+        let upstream_hash = prefix::extend_hash(prefix::mix(13), upstream.as_bytes());
+        let weight = |name: &str| prefix::mix(prefix::extend_hash(upstream_hash, name.as_bytes()));
+        let own = weight(&self.identity.instance);
+        let is_listed =
+            listed.is_empty() || listed.iter().any(|name| **name == *self.identity.instance);
+        let position = listed.iter().filter(|name| weight(name) > own).count();
+        Rank { position: is_listed.then_some(position), instances: listed.len().max(1) }
+    }
+
     /// Returns the part of connections to close after an answer, 0 to 1.
     ///
     /// Callers reuse an open connection before they open another, so that all requests of a large
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -7,6 +7,7 @@
 
 use base::prelude::*;
 use h1::Conn;
+use route::brittle::{Brittle, Load, Rank};
 use route::placement::{Average, Candidate};
 use route::prefix::Hash;
 use route::throttle::Throttle;
@@ -80,6 +81,8 @@
     unprocessed_tokens: Tokens,
     /// Whether the request was sent over a connection of this instance.
     is_direct: bool,
+    /// Whether the head of its answer has arrived.
+    is_answered: bool,
 }
 
 /// State of one incarnation of an upstream.
@@ -92,11 +95,14 @@
     /// End of the pause for which the upstream has asked; zero without one.
     paused_until: Cell<Duration>,
     throttle: Cell<Throttle>,
+    brittle: RefCell<Brittle>,
     /// Whether an answer of the upstream has stated that it leaves.
     pub has_stated_leaving: Cell<bool>,
     flights: RefCell<SlotMap<FlightKey, InFlight>>,
     /// Requests of other instances there, and the time of the report.
     others_load: Cell<(f64, Duration)>,
+    /// Running and waiting requests of the last report, and its time.
+    reported_load: Cell<Option<(u32, u32, Duration)>>,
     slowness: RefCell<Average>,
     failure_ratio: RefCell<Average>,
     /// End and duration of the last ejection; zero if an answer arrived since.
@@ -125,10 +131,12 @@
             leaving: Cell::new(entry.leaving),
             paused_until: Cell::default(),
             throttle: Cell::default(),
+            brittle: RefCell::default(),
             has_stated_leaving: Cell::new(false),
             entry,
             flights: RefCell::default(),
             others_load: Cell::default(),
+            reported_load: Cell::default(),
             slowness: RefCell::new(Average::open(slowness)),
             failure_ratio: RefCell::new(Average::open(0.0)),
             ejection: Cell::default(),
@@ -225,11 +233,42 @@
         self.paused_until.get().saturating_sub(now).max(self.throttle.get().wait(now))
     }
 
+    /// Records that the upstream has turned a request of this instance away for want of room.
+    pub fn record_rejection(&self, now: Duration) {
+        self.brittle.borrow_mut().record_rejection(now);
+    }
+
+    /// Returns true if a request may be sent although the upstream is brittle.
+    ///
+    /// It bears `limit` rejections per second, of which this instance has the part of its `rank`.
+    /// `is_generation` tells whether the memory of the upstream may run out.
+    pub fn admits_brittle(
+        &self,
+        limit: usize,
+        rank: Rank,
+        is_generation: bool,
+        now: Duration,
+    ) -> bool {
+        let flights = self.flights.borrow();
+        let load = Load {
+            slots: usize::try_from(self.entry.slots).unwrap_or(usize::MAX),
+            in_flight: flights.len(),
+            unanswered: flights.values().filter(|flight| !flight.is_answered).count(),
+            report: self
+                .reported_load
+                .get()
+                .map(|(running, waiting, at)| (running, waiting, now.saturating_sub(at))),
+            is_memory_bound: is_generation,
+        };
+        self.brittle.borrow_mut().admits(limit, rank, load, now)
+    }
+
     /// Records a load report that an answer carried.
     pub fn record_load(&self, running: u32, waiting: u32, now: Duration) {
         let own = u32::try_from(self.in_flight()).unwrap_or(u32::MAX);
         let others_load = running.saturating_add(waiting).saturating_sub(own);
         self.others_load.set((f64::from(others_load), now));
+        self.reported_load.set(Some((running, waiting, now)));
     }
 
     /// Returns the leading tokens of a prompt that this instance expects to be cached there.
@@ -403,6 +442,7 @@
             last_progress_at: now,
             unprocessed_tokens: prompt_tokens.saturating_sub(cached_tokens),
             is_direct,
+            is_answered: false,
         };
         let key = upstream.flights.borrow_mut().insert(flight);
         Self { upstream, key, is_proven, is_direct }
@@ -434,8 +474,16 @@
         self.record_heard(now);
     }
 
+    /// Records that the head of the answer has arrived.
+    pub fn record_answered(&self, now: Duration) {
+        if let Some(flight) = self.upstream.flights.borrow_mut().get_mut(self.key) {
+            flight.is_answered = true;
+        }
+        self.record_heard(now);
+    }
+
     /// Records that bytes have arrived.
-    pub fn record_heard(&self, now: Duration) {
+    fn record_heard(&self, now: Duration) {
         if self.is_direct {
             self.upstream.heard_at.set(now);
         }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -2,11 +2,13 @@
 //!
 //! There are two ways to choose: [`fleet`] applies a policy of [`balancer`] to polled reports, and
 //! [`placement`] compares expected times. [`poison`] rejects requests that crash upstreams, and
-//! [`retry`] limits retries, and [`throttle`] the requests to an upstream that states a limit.
+//! [`retry`] limits retries, [`throttle`] the requests to an upstream that states a limit, and
+//! [`brittle`] those to an upstream that fails when it must turn requests away.
 //! [`origin`] finds the software version at which an interrupted stream may go on, and [`path`]
 //! tells whether the instance reaches the upstreams by connections of its own.
 
 pub mod balancer;
+pub mod brittle;
 pub mod cache;
 pub mod error;
 pub mod fleet;
