Open a link again whose call was not answered

Callers of an instance without tokens, or without a path, got refusals for a minute although another instance could have helped: a connection between two instances may go silent for good, and the link over it was used for every later call.

Cause: a call without an answer left the link in the pool, and the loans gave up at the same moment as the call, so that the pool never learned of it. Now such a link is dropped, and the next call opens another. a_link_that_went_silent_is_opened_again failed before: Err(Timeout) instead of Ok(Taken(20)).

--- a/crates/wire/src/pool.rs
+++ b/crates/wire/src/pool.rs
@@ -61,7 +61,8 @@
         peer.last_used_at.set(self.clock.now());
         let link = self.get_or_open_link(address, &peer).await?;
         let answer = link.call(request, timeout).await;
-        if link.is_broken() {
+        // A connection that has gone silent shows itself only by calls without an answer.
+        if link.is_broken() || answer == Err(Error::Timeout) {
             peer.link.borrow_mut().take_if(|current| Rc::ptr_eq(current, &link));
         }
         answer
--- a/crates/wire/tests/link.rs
+++ b/crates/wire/tests/link.rs
@@ -209,6 +209,50 @@
     assert_eq!(pool.call(address, &take_request(), CALL_TIMEOUT).await, Ok(Reply::Taken(20)));
 }
 
+/// Forwards connections until it goes silent; later ones are forwarded again.
+async fn spawn_path(peer: SocketAddr, silences: Rc<Cell<u32>>) -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    ntex::rt::spawn(async move {
+        loop {
+            let (mut caller, _) = listener.accept().await.unwrap();
+            let mut target = TcpStream::connect(peer).await.unwrap();
+            let (silences, opened_at) = (Rc::clone(&silences), silences.get());
+            ntex::rt::spawn(async move {
+                let forward = tokio::io::copy_bidirectional(&mut caller, &mut target).boxed_local();
+                let silent = async {
+                    while silences.get() == opened_at {
+                        sleep(Duration::from_millis(5)).await;
+                    }
+                };
+                futures::future::select(forward, silent.boxed_local()).await;
+                // The connection stays open, and carries nothing any more.
+                std::future::pending::<()>().await;
+            });
+        }
+    });
+    address
+}
+
+/// Guards against a link that is used for good although its connection has gone silent.
+#[ntex::test]
+async fn a_link_that_went_silent_is_opened_again() {
+    let mut peer = context("b", "secret");
+    let handler = Rc::new(RecordingHandler::default()) as Rc<dyn Handler>;
+    let listener = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let silences = Rc::new(Cell::new(0));
+    let address = spawn_path(listener.local_addr().unwrap(), Rc::clone(&silences)).await;
+    peer.own.address = address;
+    let _listener = Listener::from_std(listener, peer, handler).unwrap();
+    let pool = Pool::open(context("a", "secret"), Arc::new(System::open()));
+    assert_eq!(pool.call(address, &take_request(), CALL_TIMEOUT).await, Ok(Reply::Taken(20)));
+    silences.set(1);
+    sleep(Duration::from_millis(20)).await;
+    let silent = pool.call(address, &take_request(), CALL_TIMEOUT).await;
+    assert_eq!(silent, Err(Error::Timeout));
+    assert_eq!(pool.call(address, &take_request(), CALL_TIMEOUT).await, Ok(Reply::Taken(20)));
+}
+
 #[ntex::test]
 async fn calls_to_a_slow_peer_time_out_and_excess_calls_are_rejected() {
     let (listener, recorder, _stats) = listen("secret");
