Let streams go on over another instance when their connection hangs in a cut

In a silent cut the events of a stream that has begun stop, and nothing ended the wait: its caller got a part of the answer and left. A stream that may be resumed now goes on as soon as the check of the path has shown that only other instances reach its engine, and so does a whole answer that may be repeated. a_stream_that_hangs_in_a_cut_goes_on failed before.

--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -399,11 +399,16 @@
     /// Returns true, and consumes a retry, if an interrupted answer may be resumed.
     #[must_use]
     pub fn may_resume(&self) -> bool {
+        self.can_go_on() && self.consume_retry()
+    }
+
+    /// Returns true if another upstream could continue the answer.
+    #[must_use]
+    pub fn can_go_on(&self) -> bool {
         self.route.kind.is_repeatable()
             && !self.is_trial
             && self.continuation != Continuation::Impossible
             && self.sent_count < self.route.max_attempts
-            && self.consume_retry()
     }
 
     fn record_request(&self, now: Duration) {
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -58,6 +58,8 @@
 #[derive(Debug)]
 enum Interruption {
     Upstream(h1::Error),
+    /// The connection hangs, since this instance has lost its path to the upstream.
+    PathLost,
     Deadline,
     CallerGone,
 }
@@ -123,11 +125,13 @@
                 let refusal = Refusal::unknown(504, "deadline_exceeded");
                 return write_refusal(call, conn, &refusal, keep_open).await;
             }
-            Err(Interruption::Upstream(error)) => {
+            Err(interruption) => {
                 call.may_have_run = true;
-                call.detect_crash(&upstream, &error, false).await;
+                if let Interruption::Upstream(error) = &interruption {
+                    call.detect_crash(&upstream, error, false).await;
+                }
                 info!(call.front.log, "answer broke off";
-                    "request" => call.params.request_id.as_ref(), "error" => %error,
+                    "request" => call.params.request_id.as_ref(), "cause" => ?interruption,
                     "upstream" => upstream.entry.id.as_ref());
                 if !call.may_resume() {
                     let refusal = Refusal::unknown(502, "upstream_broke_off");
@@ -150,6 +154,7 @@
         body = upstream.read_body(head.framing, MAX_ANSWER_BYTES, None) =>
             body.map_err(Interruption::Upstream)?,
         () = conn.wait_closed() => return Err(Interruption::CallerGone),
+        () = flight.wait_cut_off(), if call.can_go_on() => return Err(Interruption::PathLost),
         () = sleep(call.time_left() + DEADLINE_GRACE) => return Err(Interruption::Deadline),
     };
     if is_reusable {
@@ -324,18 +329,24 @@
                         "request" => self.call.params.request_id.as_ref(), "error" => %error,
                         "upstream" => self.answer.flight.upstream().entry.id.as_ref(),
                         "last_event" => self.last_event_id);
-                    match self.resume(conn).await {
-                        Ok(()) => {}
-                        Err(ResumeError::CallerGone) => {
-                            return self.end("caller gone", Delivery::CallerGone);
-                        }
-                        Err(ResumeError::Refused(refusal)) if !self.has_begun => {
-                            return write_refusal(self.call, conn, &refusal, keep_open).await;
-                        }
-                        Err(ResumeError::Refused(_) | ResumeError::NotAStream) => {
-                            return self.end("stream broke off", Delivery::Incomplete);
-                        }
-                    }
+                }
+                Err(Interruption::PathLost) => {
+                    info!(self.call.front.log, "stream hangs";
+                        "request" => self.call.params.request_id.as_ref(),
+                        "upstream" => self.answer.flight.upstream().entry.id.as_ref(),
+                        "last_event" => self.last_event_id);
+                }
+            }
+            match self.resume(conn).await {
+                Ok(()) => {}
+                Err(ResumeError::CallerGone) => {
+                    return self.end("caller gone", Delivery::CallerGone);
+                }
+                Err(ResumeError::Refused(refusal)) if !self.has_begun => {
+                    return write_refusal(self.call, conn, &refusal, keep_open).await;
+                }
+                Err(ResumeError::Refused(_) | ResumeError::NotAStream) => {
+                    return self.end("stream broke off", Delivery::Incomplete);
                 }
             }
         }
@@ -398,6 +409,7 @@
                 return Err(Interruption::Upstream(error));
             }
             let time_left = self.call.time_left() + DEADLINE_GRACE;
+            let may_go_on = self.call.can_go_on();
             // An upstream that sends without a pause would never let the timer be polled.
             if self.call.is_overdue(DEADLINE_GRACE) {
                 return Err(Interruption::Deadline);
@@ -407,6 +419,9 @@
                 more = self.answer.conn.fill_body(&mut self.body) =>
                     more.map_err(Interruption::Upstream)?,
                 () = conn.wait_closed() => return Err(Interruption::CallerGone),
+                () = self.answer.flight.wait_cut_off(), if may_go_on => {
+                    return Err(Interruption::PathLost);
+                }
                 () = sleep(time_left) => return Err(Interruption::Deadline),
             }
         }
