--- a/crates/front/src/connect.rs
+++ b/crates/front/src/connect.rs
@@ -91,7 +91,8 @@
                     // The receiver is dropped, so that the connection goes to the pool.
                     drop(self.spawn_connect(upstream, CONNECT_TIMEOUT));
                 }
-                let opened = self.connect_by_tunnel(tunnels, upstream).await;
+                // No connect has failed, so that the tunnel is no evidence on the own path.
+                let opened = self.open_tunnel(tunnels, upstream).await;
                 if matches!(opened, Err(Error::Path)) {
                     self.record_no_exit(service);
                 }
@@ -148,11 +149,20 @@
         }
     }
 
+    /// Opens a tunnel to an upstream to which a connect has failed, or hangs.
     async fn connect_by_tunnel(
         &self,
         tunnels: &Tunnels,
         upstream: &Upstream,
     ) -> Result<Opened, Error> {
+        let opened = self.open_tunnel(tunnels, upstream).await;
+        if opened.is_ok() {
+            self.record_detour(upstream);
+        }
+        opened
+    }
+
+    async fn open_tunnel(&self, tunnels: &Tunnels, upstream: &Upstream) -> Result<Opened, Error> {
         let now = self.clock.now();
         let entry = &upstream.entry;
         let is_proven = self.fleet.proves_connection(upstream, now);
@@ -165,7 +175,6 @@
         self.metrics.count_tunnel(&entry.service, &connected);
         match connected {
             Ok(tunnel) => {
-                self.record_detour(upstream);
                 let is_proven = is_proven && tunnel.is_proven;
                 Ok(Opened { conn: tunnel.conn, is_proven, is_tunnel: true })
             }
--- a/crates/route/src/path.rs
+++ b/crates/route/src/path.rs
@@ -170,7 +170,6 @@
     ) -> bool {
         self.detoured.retain(|_, until| now < *until + DETOUR_MEMORY);
         self.detoured.insert(Arc::clone(upstream), now + DETOUR_MEMORY);
-        self.refuses_until = Duration::ZERO;
         if self.state == State::Lost {
             return false;
         }
