--- a/crates/front/src/metric.rs
+++ b/crates/front/src/metric.rs
@@ -125,7 +125,7 @@
         let result = match connected {
             Ok(_) => "ok",
             Err(Obstacle::Upstream | Obstacle::Unlisted) => "upstream",
-            Err(Obstacle::Path | Obstacle::Busy | Obstacle::Silent) => "path",
+            Err(Obstacle::Path | Obstacle::Busy) => "path",
         };
         self.tunnels.get_or_create(&ConnectLabels { service: service.to_owned(), result }).inc();
     }
--- a/crates/tunnel/src/entrance.rs
+++ b/crates/tunnel/src/entrance.rs
@@ -13,7 +13,7 @@
 use slog::{Logger, info};
 use tokio::time::sleep;
 
-use crate::{Obstacle, Target};
+use crate::{Error, Obstacle, Target};
 
 /// Most instances that are asked for one connection.
 const MAX_ASKED: usize = 4;
@@ -41,7 +41,7 @@
         &'a self,
         exit: &'a InstanceId,
         target: &'a Target,
-    ) -> LocalBoxFuture<'a, Result<Tunnel, Obstacle>>;
+    ) -> LocalBoxFuture<'a, Result<Tunnel, Error>>;
 }
 
 /// Opens tunnels through the other instances.
@@ -85,16 +85,16 @@
             };
             match answer {
                 Some((_, Ok(tunnel))) => return Ok(tunnel),
-                Some((exit, Err(obstacle))) => {
-                    info!(self.log, "tunnel refused"; "exit" => %exit, "obstacle" => ?obstacle,
+                Some((exit, Err(error))) => {
+                    info!(self.log, "tunnel refused"; "exit" => %exit, "obstacle" => %error,
                         "upstream" => target.upstream.as_ref());
-                    match obstacle {
-                        Obstacle::Path | Obstacle::Silent => self.avoid(exit, &target.service),
-                        Obstacle::Upstream | Obstacle::Unlisted => result = Obstacle::Upstream,
-                        Obstacle::Busy => {}
-                    }
-                    if obstacle == Obstacle::Upstream {
-                        return Err(result);
+                    match error {
+                        Error::Obstacle(Obstacle::Upstream) => return Err(Obstacle::Upstream),
+                        Error::Obstacle(Obstacle::Unlisted) => result = Obstacle::Upstream,
+                        Error::Obstacle(Obstacle::Busy) => {}
+                        Error::Obstacle(Obstacle::Path) | Error::Silent(_) => {
+                            self.avoid(exit, &target.service);
+                        }
                     }
                 }
                 None => return Err(result),
@@ -102,11 +102,7 @@
         }
     }
 
-    async fn ask(
-        &self,
-        exit: InstanceId,
-        target: &Target,
-    ) -> (InstanceId, Result<Tunnel, Obstacle>) {
+    async fn ask(&self, exit: InstanceId, target: &Target) -> (InstanceId, Result<Tunnel, Error>) {
         let answer = self.exits.connect(&exit, target).await;
         (exit, answer)
     }
--- a/crates/tunnel/src/exit.rs
+++ b/crates/tunnel/src/exit.rs
@@ -13,13 +13,12 @@
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
+use wire::message::Ticket;
 
 /// Most connections that are held or carried at once.
 const MAX_TUNNELS: usize = 256;
 /// Time for which a connection is held until its ticket arrives.
 const TICKET_LIFETIME: Duration = Duration::from_secs(1);
-/// Length of a ticket in bytes.
-const TICKET_BYTES: usize = 16;
 /// Most bytes of one frame.
 const FRAME_BYTES: usize = 16 << 10;
 /// Longest wait for the other instance to close a tunnel whose stream has ended.
@@ -27,9 +26,6 @@
 /// Pause after a failed accept, for example for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Secret with which another instance claims a connection.
-pub type Ticket = [u8; TICKET_BYTES];
-
 /// Holds connections to upstreams for other instances, and carries their bytes.
 #[derive(Debug)]
 pub struct Exit {
--- a/crates/tunnel/src/lib.rs
+++ b/crates/tunnel/src/lib.rs
@@ -9,9 +9,11 @@
 pub mod exit;
 
 use base::prelude::*;
+use thiserror::Error;
+pub use wire::message::Obstacle;
 
 pub use crate::entrance::{Entrance, Exits, Tunnel};
-pub use crate::exit::{Exit, Ticket};
+pub use crate::exit::Exit;
 
 /// One start of an upstream, to which a connection is wanted.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -24,17 +26,13 @@
     pub incarnation: Incarnation,
 }
 
-/// Why another instance has not connected to an upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Obstacle {
-    /// It has no path to the upstreams of the service either.
-    Path,
-    /// It reaches other upstreams of the service, but not this one.
-    Upstream,
-    /// It does not list this incarnation of the upstream.
-    Unlisted,
-    /// It is stopping, or carries too many tunnels.
-    Busy,
-    /// It did not answer.
-    Silent,
+/// Why there is no tunnel through another instance.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum Error {
+    /// The instance has not connected to the upstream.
+    #[error("{0:?}")]
+    Obstacle(Obstacle),
+    /// The instance did not answer, or its tunnel could not be opened.
+    #[error("no answer: {0}")]
+    Silent(String),
 }
--- a/crates/tunnel/tests/tunnels.rs
+++ b/crates/tunnel/tests/tunnels.rs
@@ -18,7 +18,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
-use tunnel::{Entrance, Exit, Exits, Obstacle, Target, Ticket, Tunnel};
+use tunnel::{Entrance, Error as TunnelError, Exit, Exits, Obstacle, Target, Tunnel};
+use wire::message::Ticket;
 
 const TIMEOUT: Duration = Duration::from_secs(2);
 const ANSWER: &[u8] = b"the answer";
@@ -138,12 +139,12 @@
         &'a self,
         exit: &'a InstanceId,
         _target: &'a Target,
-    ) -> LocalBoxFuture<'a, Result<Tunnel, Obstacle>> {
+    ) -> LocalBoxFuture<'a, Result<Tunnel, TunnelError>> {
         self.asked.borrow_mut().push(Arc::clone(exit));
         let (answer, time) = self.answers[&**exit];
         async move {
             sleep(time).await;
-            answer?;
+            answer.map_err(TunnelError::Obstacle)?;
             Ok(Tunnel { conn: connect().await.0, is_proven: true })
         }
         .boxed_local()
@@ -169,7 +170,7 @@
 
 /// Guards against requests that fail because the first instance that is asked cannot help.
 #[test_case(&[("a", Err(Obstacle::Path), 0), ("b", Ok(()), 0)], None; "one_without_a_path")]
-#[test_case(&[("a", Err(Obstacle::Silent), 60_000), ("b", Ok(()), 0)], None; "one_that_hangs")]
+#[test_case(&[("a", Err(Obstacle::Busy), 60_000), ("b", Ok(()), 0)], None; "one_that_hangs")]
 #[test_case(&[("a", Err(Obstacle::Busy), 0), ("b", Err(Obstacle::Unlisted), 0), ("c", Ok(()), 0)],
     None; "several_that_cannot")]
 #[test_case(&[("a", Err(Obstacle::Upstream), 0)], Some(Obstacle::Upstream); "the_upstream_is_down")]
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -107,8 +107,11 @@
     pub body: Vec<u8>,
 }
 
-/// Length of a [`Tunnel::ticket`] in bytes.
-pub const TICKET_BYTES: usize = 16;
+/// Length of a ticket in bytes.
+const TICKET_BYTES: usize = 16;
+
+/// Secret with which an instance claims a connection that a peer holds for it.
+pub type Ticket = [u8; TICKET_BYTES];
 
 /// A request for a connection to an upstream.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -123,7 +126,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Tunnel {
     /// Secret with which the caller claims the connection.
-    pub ticket: [u8; TICKET_BYTES],
+    pub ticket: Ticket,
     /// Whether the connection leads certainly to the incarnation that was requested.
     pub is_proven: bool,
 }
