--- a/crates/front/src/connect.rs
+++ b/crates/front/src/connect.rs
@@ -15,7 +15,7 @@
 use crate::Front;
 use crate::upstream::Upstream;
 
-/// Longest time for a connect to an upstream; several round trips within a region.
+/// Longest time for a connect to an upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Longest time for a connect for another instance, which waits for the answer.
 const EXIT_CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -92,11 +92,17 @@
                     drop(self.spawn_connect(upstream, CONNECT_TIMEOUT));
                 }
                 // No connect has failed, so that the tunnel is no evidence on the own path.
-                let opened = self.open_tunnel(tunnels, upstream).await;
-                if matches!(opened, Err(Error::Path)) {
-                    self.record_no_exit(service);
+                match self.open_tunnel(tunnels, upstream).await {
+                    // Only this upstream is out of reach, so that another one may be connected to.
+                    Err(Error::Path) if self.path_state(service) == State::Works => {
+                        Err(io::Error::from(ErrorKind::TimedOut).into())
+                    }
+                    Err(Error::Path) => {
+                        self.record_no_exit(service);
+                        Err(Error::Path)
+                    }
+                    opened => opened,
                 }
-                opened
             }
         }
     }
