Record the crashes of engines that fall together, although no other instance reaches them

Since a crash was not recorded while the path was in doubt and the instances that were asked had no path either. That is what they say too while several engines are down: of 12 streams at four engines that crash together, 7 were recorded, so that a request that crashes its engines could have reached more of them.

--- a/crates/front/src/connect.rs
+++ b/crates/front/src/connect.rs
@@ -61,7 +61,7 @@
 pub(crate) enum Verdict {
     /// This instance can connect.
     Up(Opened),
-    /// Only others can connect, or it is not known whether they can.
+    /// Only others can connect, or nobody can while the path is lost.
     PathLost,
     /// Nobody can connect.
     Down(io::Error),
@@ -224,7 +224,7 @@
 
     /// Connects to an upstream for another instance.
     ///
-    /// The flag tells whether the connection certainly leads to the incarnation of `target`.
+    /// The flag tells whether the connection certainly leads to this incarnation.
     ///
     /// # Errors
     ///
@@ -278,7 +278,8 @@
         let Some(tunnels) = &self.tunnels else { return Verdict::Down(error) };
         match self.connect_by_tunnel(tunnels, upstream).await {
             Ok(_) => Verdict::PathLost,
-            Err(Error::Path) if self.path_state(service) != State::Works => Verdict::PathLost,
+            Err(Error::Path) if self.path_state(service) == State::Lost => Verdict::PathLost,
+            // Instances that all fail to connect rather show that the upstream is down.
             Err(_) => Verdict::Down(error),
         }
     }
