--- a/review/lib/engines.py
+++ b/review/lib/engines.py
@@ -181,3 +181,27 @@
         self.starts += 1
         self.name = f"{name.rsplit('.', 1)[0]}.{self.starts}"
         await self.start()
+
+
+class CrashingEngine(Engine):
+    """A model engine that crashes when it begins to write an answer on a certain prompt part."""
+
+    def __init__(self, *arguments, crashing_part="", down_s=3.0, **keywords):
+        super().__init__(*arguments, **keywords)
+        self.crashing_part, self.down_s = crashing_part, down_s
+        self.starts = 1
+        self.crashes = []
+
+    async def run(self, reader, writer, attempt, echo, fields, body):
+        prefix = fields.get("x-lacewingpost-prompt-prefix", "")
+        parts = [entry.split(":")[0] for entry in prefix.split(",")]
+        if self.crashing_part in parts[:-1]:
+            await asyncio.sleep(self.first_event_s)
+            self.crashes.append((time.monotonic(), attempt))
+            self.record.write(f"engine {self.name} crashes on {attempt}, "
+                              f"{self.running - 1} others break off")
+            asyncio.ensure_future(self.crash())
+            await asyncio.sleep(60)
+        return await super().run(reader, writer, attempt, echo, fields, body)
+
+    crash = PlainEngine.crash
