--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -302,8 +302,7 @@
                 process.kill()
         for process in self.processes.values():
             process.wait()
-        if not os.environ.get("KEEP_LOGS"):
-            shutil.rmtree(self.folder, ignore_errors=True)
+        shutil.rmtree(self.folder, ignore_errors=True)
 
     async def wait_ready(self, limit=15.0):
         deadline = now() + limit
