--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -209,16 +209,15 @@
 class Instances:
     """Real instances, started with the command of the deploy file."""
 
-    def __init__(self, store, count, zones=3, prefix=None, bounds=None, limits=None):
+    def __init__(self, store, count, zones=3, bounds=None, limits=None):
         self.store = store
         self.count = count
         self.zones = zones
         self.folder = tempfile.mkdtemp(prefix="review-")
-        self.prefix = prefix or f"127.{random.randrange(30, 250)}.{random.randrange(1, 250)}"
         self.bounds = bounds or {}
         self.limits = limits or {}
         self.processes = {}
-        self.base = random.randrange(21_000, 29_000)
+        self.prefix, self.base = free_addresses(count)
         self.names = [f"front-z{number % zones}-{number // zones + 1}" for number in range(count)]
 
     def ip(self, number):
@@ -348,6 +347,33 @@
         return None
 
 
+# Offsets of the ports of an instance from its first one: readiness, directory, callers, control, and
+# the ports between instances.
+PORT_OFFSETS = (0, 4, 7, 9, *range(20, 36))
+# Port of the metrics, as in the deploy file.
+METRICS_PORT = 9464
+
+
+def free_addresses(count):
+    """Returns the first three numbers of IP addresses, and a first port, that are free for all."""
+    for _ in range(100):
+        prefix = f"127.{random.randrange(30, 250)}.{random.randrange(1, 250)}"
+        base = random.randrange(21_000, 29_000)
+        ports = [base + offset for offset in PORT_OFFSETS] + [METRICS_PORT]
+        if all(is_free(f"{prefix}.{number + 1}", port) for number in range(count) for port in ports):
+            return prefix, base
+    raise OSError("no free ports")
+
+
+def is_free(ip, port):
+    with socket.socket() as probe:
+        try:
+            probe.bind((ip, port))
+        except OSError:
+            return False
+    return True
+
+
 def free_port(ip):
     with socket.socket() as probe:
         probe.bind((ip, 0))
@@ -371,7 +397,8 @@
     # Connections that are still open at the end need no report.
     sys.unraisablehook = lambda *_: None
     # An end from outside also ends the instances.
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    for which in (signal.SIGTERM, signal.SIGHUP):
+        signal.signal(which, lambda *_: sys.exit(2))
     record = Record(folder)
     try:
         code = asyncio.run(main(record))
