Accept connections by what the link of the instance carries

Cause: callers that keep to an instance with a narrow link send up to twice what it carries. Refusing requests after they were read leaves the link full: connects to upstreams time out, tunnels are opened over the same link, and a tenth of the requests is served.

Change: a virtual queue for each direction counts accepted connections with the bytes that they will bring, and is corrected by the time of connects to upstreams. While it is long, the instance accepts nothing and keeps a backlog of one connection. Connects that time out then are no evidence against a path or an upstream.

--- a/crates/front/src/connect.rs
+++ b/crates/front/src/connect.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use base::prelude::*;
-use h1::Conn;
+use h1::{Conn, Traffic};
 use route::path::{Path, Plan, State};
 use slog::{info, warn};
 use thiserror::Error;
@@ -78,7 +78,9 @@
         let now = self.clock.now();
         let plan = self.with_path(service, |path| path.plan(&upstream.entry.id, now));
         let connect_timeout = CONNECT_TIMEOUT.min(time_left);
-        let Some(tunnels) = &self.tunnels else {
+        // A tunnel would pass a full link twice.
+        let tunnels = self.tunnels.as_ref().filter(|_| !self.is_congested());
+        let Some(tunnels) = tunnels else {
             return Ok(self.connect_directly(upstream, connect_timeout).await?);
         };
         match plan {
@@ -216,8 +218,20 @@
         connect_timeout: Duration,
     ) -> io::Result<Opened> {
         let is_proven = self.fleet.proves_connection(upstream, self.clock.now());
+        let began = self.clock.now();
         let opened =
             Conn::open(upstream.entry.address, connect_timeout, self.unacked_timeout).await;
+        let ended = self.clock.now();
+        match &opened {
+            Ok(_) => {
+                let time = ended.saturating_sub(began);
+                self.gate.borrow_mut().record_connect(Some(time), ended);
+            }
+            Err(error) if error.kind() == ErrorKind::TimedOut => {
+                self.gate.borrow_mut().record_connect(None, ended);
+            }
+            Err(_) => {}
+        }
         self.record_connect(upstream, &opened);
         Ok(Opened { conn: opened?, is_proven, is_tunnel: false })
     }
@@ -257,6 +271,11 @@
         }
     }
 
+    /// Returns true while the own network link is full, so that time-outs prove nothing.
+    pub(crate) fn is_congested(&self) -> bool {
+        self.gate.borrow_mut().is_congested(Traffic::total(), self.clock.now())
+    }
+
     /// Notes that no instance that was asked has a path to a service.
     pub(crate) fn record_no_exit(&self, service: &ServiceId) {
         let now = self.clock.now();
@@ -361,6 +380,10 @@
         if error.kind() == ErrorKind::ConnectionRefused {
             upstream.record_refusal(now);
         }
+        // The packets of the connect may wait in the full link of this instance.
+        if error.kind() == ErrorKind::TimedOut && self.is_congested() {
+            return;
+        }
         let upstream_count = self.fleet.service_size(&entry.service);
         self.with_path(&entry.service, |path| {
             if path.record_failure(&entry.id, upstream_count, now) {
--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -602,6 +602,9 @@
         let now = self.front.clock.now();
         let upstream = &selection.upstream;
         match failure {
+            // The packets of the connect may wait in the full link of this instance.
+            Failure::Connect(error)
+                if error.kind() == ErrorKind::TimedOut && self.front.is_congested() => {}
             Failure::Connect(error) => {
                 if self.front.path_state(&self.service) == State::Works
                     || error.kind() == ErrorKind::HostUnreachable
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod connect;
 pub mod dispatch;
 pub mod fleet;
+pub mod gate;
 pub mod link;
 pub mod listener;
 pub mod metric;
--- a/crates/front/src/link.rs
+++ b/crates/front/src/link.rs
@@ -59,6 +59,13 @@
         Duration::from_secs_f64(self.queued_bytes / self.bytes_per_second)
     }
 
+    /// Lowers the queue to the delay that the link shows, which the model may overestimate.
+    pub fn correct(&mut self, delay: Duration, now: Duration) {
+        if self.queueing_delay(now) > delay {
+            self.queued_bytes = delay.as_secs_f64() * self.bytes_per_second;
+        }
+    }
+
     /// Admits a request with a body of `body_len` bytes, or rejects it.
     ///
     /// # Errors
--- a/crates/front/src/listener.rs
+++ b/crates/front/src/listener.rs
@@ -5,6 +5,7 @@
 
 use base::prelude::*;
 use bytes::BytesMut;
+use futures::FutureExt;
 use h1::{Conn, Request};
 use slog::{info, warn};
 use tokio::net::{TcpListener, TcpStream};
@@ -16,6 +17,12 @@
 
 /// Pause after a failed accept, for example for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Connections that the kernel accepts before the instance does.
+const BACKLOG: i32 = 1_024;
+/// The same while the link is full; further callers find no room and send nothing.
+const CONGESTED_BACKLOG: i32 = 1;
+/// Interval at which a closed gate is checked.
+const GATE_INTERVAL: Duration = Duration::from_millis(4);
 /// Largest head of a request to an auxiliary interface: readiness, addresses or metrics.
 const MAX_AUXILIARY_HEAD_BYTES: usize = 8 << 10;
 /// Timeout on auxiliary connections for idling, for reading a head and for unacknowledged bytes.
@@ -31,21 +38,48 @@
 }
 
 /// Accepts connections of callers until the thread ends.
+///
+/// While the gate is closed, the kernel keeps one connection waiting and ignores further connects. To
+/// close the listening socket instead would reset requests that are on their way, whose bytes the link
+/// has then carried in vain.
 pub async fn accept(front: Rc<Front>, listener: TcpListener) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                let front = Rc::clone(&front);
-                ntex::rt::spawn(async move { serve_connection(&front, stream).await });
-            }
+            Ok((stream, _)) => spawn_connection(&front, stream),
             Err(error) => {
                 warn!(front.log, "accept failed"; "error" => %error);
                 sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
+        if front.admits_connects() {
+            continue;
+        }
+        set_backlog(&front, &listener, CONGESTED_BACKLOG);
+        // A caller whose connection waits would have left before its request is read.
+        while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+            spawn_connection(&front, stream);
+        }
+        let closed_at = front.clock.now();
+        while !front.admits_connects() {
+            sleep(GATE_INTERVAL).await;
+        }
+        front.record_reopened(closed_at);
+        set_backlog(&front, &listener, BACKLOG);
     }
 }
 
+fn set_backlog(front: &Front, listener: &TcpListener, backlog: i32) {
+    if let Err(error) = rustix::net::listen(listener, backlog) {
+        warn!(front.log, "cannot change the backlog"; "error" => %error);
+    }
+}
+
+fn spawn_connection(front: &Rc<Front>, stream: TcpStream) {
+    let front = Rc::clone(front);
+    front.gate.borrow_mut().record_accepted();
+    ntex::rt::spawn(async move { serve_connection(&front, stream).await });
+}
+
 /// Serves the requests of one connection in sequence.
 async fn serve_connection(front: &Rc<Front>, stream: TcpStream) {
     let Ok(mut conn) = Conn::from_stream(stream, front.unacked_timeout) else { return };
--- a/crates/front/src/metric.rs
+++ b/crates/front/src/metric.rs
@@ -1,6 +1,7 @@
 //! Prometheus metrics of the requests that are routed by host and path.
 
 use std::io::ErrorKind;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use prometheus_client::encoding::{EncodeLabelSet, text};
@@ -54,6 +55,10 @@
     pub first_byte_seconds: Family<AccountLabels, Histogram>,
     /// Time from arrival to the end of an answer.
     pub whole_answer_seconds: Family<AccountLabels, Histogram>,
+    /// How often connects of callers began to be refused because the link was full.
+    pub gate_closings: Counter,
+    /// Time for which connects of callers were refused.
+    pub gate_closed_seconds: Counter<f64, AtomicU64>,
     /// Calls and bytes on the links to other instances.
     pub peer: watch::peer::Counters,
     /// Calls to the store and their bytes.
@@ -85,6 +90,18 @@
             "Time from arrival to the end of an answer",
             whole_answer_seconds.clone(),
         );
+        let gate_closings = Counter::default();
+        let gate_closed_seconds = Counter::<f64, AtomicU64>::default();
+        registry.register(
+            "gate_closings",
+            "Times that connects of callers began to be refused",
+            gate_closings.clone(),
+        );
+        registry.register(
+            "gate_closed_seconds",
+            "Time for which connects of callers were refused",
+            gate_closed_seconds.clone(),
+        );
         let peer = watch::peer::Counters::default();
         peer.register(&mut registry);
         let store = watch::store::Counters::default();
@@ -96,6 +113,8 @@
             tunnels,
             first_byte_seconds,
             whole_answer_seconds,
+            gate_closings,
+            gate_closed_seconds,
             peer,
             store,
         }
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -6,7 +6,8 @@
 
 use base::prelude::*;
 use bytes::{Bytes, BytesMut};
-use h1::{Body, Conn, Request};
+use futures::FutureExt;
+use h1::{Body, Conn, Request, Traffic};
 use ledger::escrow::{Escrow, Fault, Reservation};
 use plan::routing::{Route, Table};
 use route::origin::Origins;
@@ -17,6 +18,7 @@
 
 use crate::connect::Tunnels;
 use crate::dispatch::Call;
+use crate::gate::Gate;
 use crate::link::Queue;
 use crate::metric::Metrics;
 use crate::relay::{self, Delivery};
@@ -33,6 +35,10 @@
 const STOPPING_RETRY: Duration = Duration::from_millis(100);
 /// Shortest retry delay while the link of this instance is saturated.
 const LINK_RETRY: Duration = Duration::from_millis(500);
+/// Size of a typical head of a request.
+const TYPICAL_HEAD_BYTES: usize = 500;
+/// Shortest interval between two log lines on the gate, which may change many times a second.
+const GATE_LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Longest wait for a reservation of tokens.
 const RESERVE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Longest wait for the next bytes of a request's body.
@@ -57,6 +63,10 @@
     pub roster: Rc<Roster>,
     /// Model of the queue at this instance's link, for admission.
     pub link_queue: RefCell<Queue>,
+    /// Acceptance of connects by what the link carries.
+    pub gate: RefCell<Gate>,
+    /// When a change of the gate was last logged.
+    pub gate_logged_at: Cell<Option<Duration>>,
     /// Evidence on this instance's path to the upstreams, by service.
     pub paths: RefCell<HashMap<ServiceId, Path>>,
     /// Tunnels through other instances; `None` without links to them.
@@ -118,6 +128,43 @@
             && rand::random::<f64>() >= self.roster.close_ratio()
     }
 
+    /// Returns true if connects of callers are accepted now.
+    pub(crate) fn admits_connects(&self) -> bool {
+        let now = self.clock.now();
+        let total = Traffic::total();
+        let was_closed = self.gate.borrow().is_closed();
+        let is_open = self.gate.borrow_mut().admits(total, now);
+        if !is_open && !was_closed {
+            self.metrics.gate_closings.inc();
+            let delay = self.gate.borrow_mut().delay(total, now);
+            self.log_gate("connects refused", delay, Duration::ZERO);
+        }
+        is_open
+    }
+
+    /// Logs and counts that connects of callers are accepted again.
+    pub(crate) fn record_reopened(&self, closed_at: Duration) {
+        let now = self.clock.now();
+        let closed_for = now.saturating_sub(closed_at);
+        self.metrics.gate_closed_seconds.inc_by(closed_for.as_secs_f64());
+        let delay = self.gate.borrow_mut().delay(Traffic::total(), now);
+        self.log_gate("connects accepted again", delay, closed_for);
+    }
+
+    /// Logs a change of the gate, at most one in [`GATE_LOG_INTERVAL`].
+    fn log_gate(&self, event: &'static str, delay: Duration, closed_for: Duration) {
+        let now = self.clock.now();
+        let logged_at = self.gate_logged_at.get();
+        if logged_at.is_some_and(|at| now < at + GATE_LOG_INTERVAL) {
+            return;
+        }
+        self.gate_logged_at.set(Some(now));
+        info!(self.log, "{}", event; "link_delay_ms" => base::clock::millis(delay),
+            "closed_ms" => base::clock::millis(closed_for),
+            "in_flight" => self.in_flight_requests.get(),
+            "closings" => self.metrics.gate_closings.get());
+    }
+
     /// Serves one request whose head has been read.
     pub async fn serve(self: &Rc<Self>, conn: &mut Conn, head: Request) -> Disposition {
         let _in_flight = self.track_request();
@@ -132,6 +179,7 @@
             }
             Err(None) => return Disposition::Abort,
         };
+        self.gate.borrow_mut().record_request(body.len() + TYPICAL_HEAD_BYTES);
         let params = match self.codec.decode_request(&head) {
             Ok(params) => params,
             Err(reason) => {
@@ -140,6 +188,11 @@
                 return self.refuse(conn, &head, None, &refusal, arrival, true).await;
             }
         };
+        // A caller may have left while its connection waited for a full link.
+        if self.is_congested() && conn.wait_closed().now_or_never().is_some() {
+            self.log_caller_gone(&params, "before admission", arrival);
+            return Disposition::Abort;
+        }
         let admitted = tokio::select! {
             biased;
             admitted = self.admit(&table, &head, &params, body.len(), arrival) => admitted,
@@ -216,6 +269,8 @@
             return Err(Refusal::not_run(401, "unknown_key"));
         }
         let account = key_account.map(Arc::clone);
+        let delay = self.gate.borrow_mut().delay(Traffic::total(), arrival);
+        self.link_queue.borrow_mut().correct(delay, arrival);
         self.link_queue
             .borrow_mut()
             .admit(route, body_len, arrival)
--- a/crates/h1/src/conn.rs
+++ b/crates/h1/src/conn.rs
@@ -11,7 +11,7 @@
 
 use crate::frame;
 use crate::head::Framing;
-use crate::{Body, Error, Response};
+use crate::{Body, Error, Response, Traffic};
 
 /// Free space of the input buffer before each read; fits a typical head or event.
 const READ_RESERVE_BYTES: usize = 8 << 10;
@@ -111,13 +111,17 @@
     fn try_read(&mut self) -> io::Result<usize> {
         let Some(frames) = &mut self.frames else {
             self.input.reserve(READ_RESERVE_BYTES);
-            return self.stream.try_read_buf(&mut self.input);
+            let count = self.stream.try_read_buf(&mut self.input)?;
+            Traffic::record(count, 0);
+            return Ok(count);
         };
         while !frames.has_ended() {
             frames.input.reserve(READ_RESERVE_BYTES);
-            if self.stream.try_read_buf(&mut frames.input)? == 0 {
+            let received = self.stream.try_read_buf(&mut frames.input)?;
+            if received == 0 {
                 return Err(io::ErrorKind::ConnectionReset.into());
             }
+            Traffic::record(received, 0);
             let count = frames.decode(&mut self.input);
             if count > 0 {
                 return Ok(count);
@@ -195,7 +199,10 @@
         while !bytes.is_empty() {
             match self.stream.try_write(bytes) {
                 Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
-                Ok(count) => bytes = &bytes[count..],
+                Ok(count) => {
+                    Traffic::record(0, count);
+                    bytes = &bytes[count..];
+                }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     self.stream.writable().await?;
                 }
@@ -270,7 +277,10 @@
             }
             if ready.is_writable() && !request.is_empty() && !is_write_broken {
                 match self.stream.try_write(request) {
-                    Ok(count) => request.advance(count),
+                    Ok(count) => {
+                        Traffic::record(0, count);
+                        request.advance(count);
+                    }
                     Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                     // The response may have arrived before the write failed, so reading continues.
                     Err(_) => is_write_broken = true,
--- a/crates/h1/src/lib.rs
+++ b/crates/h1/src/lib.rs
@@ -9,8 +9,10 @@
 pub mod error;
 pub mod frame;
 pub mod head;
+pub mod traffic;
 
 pub use crate::body::Body;
 pub use crate::conn::Conn;
 pub use crate::error::Error;
 pub use crate::head::{Fields, Framing, Request, Response};
+pub use crate::traffic::Traffic;
