Evacuate failure domains by rows of the operator

Cause: the row `evacuate/ZONE` of table `op` had no effect. The feed that follows the configuration read the row `config` only, and requests went on to the domain.

The selection leaves evacuated domains out; the domain is checked again after the connection is open, right before the request is sent, and tunnels of other instances to such upstreams are refused. A service without another domain is refused at once (503, `evacuated`, with `Retry-After`), before tokens are reserved.

--- a/crates/front/src/connect.rs
+++ b/crates/front/src/connect.rs
@@ -242,6 +242,7 @@
             .fleet
             .find(upstream)
             .filter(|found| found.entry.born == incarnation && !found.leaving.get())
+            .filter(|found| !self.fleet.is_evacuated(found))
             .ok_or(Obstacle::Unlisted)?;
         let service = &upstream.entry.service;
         let now = self.clock.now();
@@ -251,6 +252,8 @@
             return Err(Obstacle::Path);
         }
         match self.connect_directly(&upstream, EXIT_CONNECT_TIMEOUT).await {
+            // The row may have been read while the connection was opened.
+            Ok(_) if self.fleet.is_evacuated(&upstream) => Err(Obstacle::Unlisted),
             Ok(Opened { conn, is_proven, .. }) => Ok((conn, is_proven)),
             Err(_) if self.path_state(service) == State::Works => Err(Obstacle::Upstream),
             Err(_) => Err(Obstacle::Path),
--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -34,6 +34,8 @@
 const ORIGIN_TIMEOUT: Duration = Duration::from_millis(700);
 /// Retry delay when no upstream could run the request.
 const UNAVAILABLE_RETRY: Duration = Duration::from_millis(400);
+/// Retry delay while all upstreams of a service are in evacuated domains, which lasts for minutes.
+const EVACUATED_RETRY: Duration = Duration::from_secs(2);
 /// Part of the time left for which an attempt waits if another attempt may follow.
 const ATTEMPT_TIME_RATIO: f64 = 0.45;
 /// Lowest status that counts as a failure of the upstream.
@@ -124,6 +126,9 @@
     /// No connection could be opened, or the upstream is leaving; nothing was sent.
     #[error("no connection: {0}")]
     Connect(std::io::Error),
+    /// The operator has evacuated the domain of the upstream; nothing was sent.
+    #[error("evacuated")]
+    Evacuated,
     /// Neither this instance nor any that was asked has a path to the service; nothing was sent.
     #[error("no path")]
     NoPath,
@@ -214,6 +219,9 @@
     ///
     /// Returns the refusal for the caller if no upstream begins an answer.
     pub async fn send(&mut self, last_event_id: Option<u64>) -> Result<Answer, Refusal> {
+        if self.front.fleet.is_service_evacuated(&self.service) {
+            return Err(self.unavailable_refusal());
+        }
         match self.front.suspects.admit(&self.suspects).await {
             Admission::Granted => {}
             Admission::Trial => self.is_trial = true,
@@ -270,6 +278,9 @@
             if matches!(failure, Failure::NoPath) {
                 return Err(self.no_path_refusal());
             }
+            if matches!(failure, Failure::Evacuated) {
+                continue;
+            }
             if matches!(failure, Failure::Connect(_) | Failure::Unproven) {
                 failed_connects += 1;
                 if failed_connects >= MAX_CONNECT_FAILURES {
@@ -465,6 +476,10 @@
         if upstream.leaving.get() {
             return Err(Failure::Connect(ErrorKind::NotConnected.into()));
         }
+        // The row may have been read while the connection was opened.
+        if front.fleet.is_evacuated(upstream) {
+            return Err(Failure::Evacuated);
+        }
         if let Some(reserved) = &mut self.reserved {
             reserved.mark_started();
         }
@@ -612,7 +627,11 @@
             // Another upstream uses the address now.
             Failure::NotRun(MISDIRECTED) => upstream.eject(now),
             // The upstream is full, and its answer has reported its load, or the fault is not its own.
-            Failure::NotRun(_) | Failure::Unproven | Failure::NoPath | Failure::PathLost => {}
+            Failure::NotRun(_)
+            | Failure::Unproven
+            | Failure::Evacuated
+            | Failure::NoPath
+            | Failure::PathLost => {}
             Failure::Exchange(_) | Failure::Timeout | Failure::ServerError(_) => {
                 upstream.record_failure(now);
             }
@@ -699,6 +718,9 @@
         if self.may_have_run {
             return Refusal::unknown(502, "upstream_failed");
         }
+        if self.front.fleet.is_service_evacuated(&self.service) {
+            return evacuated_refusal();
+        }
         Refusal::not_run(503, "no_upstream").retry_after(self.unavailable_retry())
     }
 
@@ -711,6 +733,11 @@
     }
 }
 
+/// Returns the refusal of a request whose service has upstreams in evacuated domains only.
+pub(crate) fn evacuated_refusal() -> Refusal {
+    Refusal::not_run(503, "evacuated").retry_after(EVACUATED_RETRY)
+}
+
 impl Answer {
     /// Records the time since the request was sent, divided by the expected time.
     pub fn record_slowness(&self, now: Duration) {
--- a/crates/front/src/fleet.rs
+++ b/crates/front/src/fleet.rs
@@ -8,6 +8,7 @@
 use route::placement::{self, Workload};
 use route::prefix;
 
+use crate::evacuation::Evacuations;
 use crate::params::Params;
 use crate::upstream::{Entry, Upstream};
 
@@ -58,6 +59,8 @@
     version: Cell<u64>,
     /// When the list was last known to be complete; `None` while the store does not answer.
     confirmed_at: Cell<Option<Duration>>,
+    /// Failure domains whose upstreams get no requests.
+    pub evacuations: Evacuations,
 }
 
 impl Fleet {
@@ -72,6 +75,7 @@
             brittle_limits: RefCell::default(),
             version: Cell::new(0),
             confirmed_at: Cell::default(),
+            evacuations: Evacuations::default(),
         }
     }
 
@@ -227,10 +231,31 @@
     #[must_use]
     pub fn wait(&self, service: &str, now: Duration) -> Option<Duration> {
         let services = self.services.borrow();
-        let staying = services.get(service)?.iter().filter(|upstream| !upstream.leaving.get());
+        let staying = services
+            .get(service)?
+            .iter()
+            .filter(|upstream| !upstream.leaving.get() && !self.is_evacuated(upstream));
         staying.map(|upstream| upstream.wait(now)).min().filter(|wait| !wait.is_zero())
     }
 
+    /// Returns true if the operator has evacuated the domain of an upstream.
+    #[must_use]
+    pub fn is_evacuated(&self, upstream: &Upstream) -> bool {
+        self.evacuations.contains(&upstream.entry.domain)
+    }
+
+    /// Returns true if a service has upstreams that stay, all of them in evacuated domains.
+    #[must_use]
+    pub fn is_service_evacuated(&self, service: &str) -> bool {
+        if self.evacuations.is_empty() {
+            return false;
+        }
+        let services = self.services.borrow();
+        let Some(upstreams) = services.get(service) else { return false };
+        let mut staying = upstreams.iter().filter(|upstream| !upstream.leaving.get()).peekable();
+        staying.peek().is_some() && staying.all(|upstream| self.is_evacuated(upstream))
+    }
+
     /// Selects an upstream of a service that `admits` accepts, except for those in `tried`.
     ///
     /// Returns `None` if no upstream may get the request.
@@ -252,8 +277,13 @@
             .filter(|upstream| !upstream.leaving.get() && !tried.contains(&upstream.entry.id))
             .filter(|upstream| upstream.in_flight() < max_in_flight)
             .filter(|upstream| upstream.wait(now).is_zero())
+            .filter(|upstream| !self.is_evacuated(upstream))
             .filter(|upstream| admits(upstream))
             .collect();
+        if !self.evacuations.is_empty() {
+            let domains = services.get(service)?.iter().map(|upstream| &upstream.entry.domain);
+            self.evacuations.record_diverted(domains);
+        }
         let available: Vec<&Rc<Upstream>> =
             eligible.iter().copied().filter(|upstream| upstream.is_available(now)).collect();
         // If all are ejected, the network of this instance may be at fault, so none is excluded.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod codec;
 pub mod connect;
 pub mod dispatch;
+pub mod evacuation;
 pub mod fleet;
 pub mod link;
 pub mod listener;
--- a/crates/front/src/metric.rs
+++ b/crates/front/src/metric.rs
@@ -6,6 +6,7 @@
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 use tunnel::Obstacle;
@@ -40,6 +41,13 @@
     pub result: &'static str,
 }
 
+/// Labels of the metrics of evacuations.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct DomainLabels {
+    /// Failure domain.
+    pub domain: String,
+}
+
 /// Registry of the metrics, and handles to update them.
 #[derive(Debug)]
 pub struct Metrics {
@@ -50,6 +58,10 @@
     pub connects: Family<ConnectLabels, Counter>,
     /// Tunnels through other instances by service and result.
     pub tunnels: Family<ConnectLabels, Counter>,
+    /// 1 for each evacuated failure domain; other domains have no value.
+    pub evacuated_domains: Family<DomainLabels, Gauge>,
+    /// Selections that passed over upstreams of a domain, counted once it is taken back.
+    pub diverted_selections: Family<DomainLabels, Counter>,
     /// Time from arrival to the first event of a stream.
     pub first_byte_seconds: Family<AccountLabels, Histogram>,
     /// Time from arrival to the end of an answer.
@@ -70,11 +82,23 @@
         let requests = Family::default();
         let connects = Family::default();
         let tunnels = Family::default();
+        let evacuated_domains = Family::default();
+        let diverted_selections = Family::default();
         let first_byte_seconds = Family::new_with_constructor(histogram as fn() -> Histogram);
         let whole_answer_seconds = Family::new_with_constructor(histogram as fn() -> Histogram);
         registry.register("requests", "Requests by route and outcome", requests.clone());
         registry.register("connects", "Connects to upstreams", connects.clone());
         registry.register("tunnels", "Tunnels through other instances", tunnels.clone());
+        registry.register(
+            "evacuated_domains",
+            "Failure domains whose upstreams get no requests",
+            evacuated_domains.clone(),
+        );
+        registry.register(
+            "diverted_selections",
+            "Selections that passed over an evacuated domain, by the end of its evacuation",
+            diverted_selections.clone(),
+        );
         registry.register(
             "first_byte_seconds",
             "Time from arrival to the first event of a stream",
@@ -94,6 +118,8 @@
             requests,
             connects,
             tunnels,
+            evacuated_domains,
+            diverted_selections,
             first_byte_seconds,
             whole_answer_seconds,
             peer,
@@ -130,6 +156,19 @@
         self.tunnels.get_or_create(&ConnectLabels { service: service.to_owned(), result }).inc();
     }
 
+    /// Notes that a failure domain is evacuated.
+    pub fn record_evacuated(&self, domain: &str) {
+        let labels = DomainLabels { domain: domain.to_owned() };
+        self.evacuated_domains.get_or_create(&labels).set(1);
+    }
+
+    /// Notes that a failure domain takes requests again, and how many selections passed it over.
+    pub fn record_taken_back(&self, domain: &str, diverted_count: u64) {
+        let labels = DomainLabels { domain: domain.to_owned() };
+        self.evacuated_domains.remove(&labels);
+        self.diverted_selections.get_or_create(&labels).inc_by(diverted_count);
+    }
+
     /// Adds the time of an account's request to a histogram.
     pub fn observe(family: &Family<AccountLabels, Histogram>, account: &str, time: Duration) {
         let labels = AccountLabels { account: account.to_owned() };
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -16,7 +16,7 @@
 use slog::{Logger, info};
 
 use crate::connect::Tunnels;
-use crate::dispatch::Call;
+use crate::dispatch::{self, Call};
 use crate::link::Queue;
 use crate::metric::Metrics;
 use crate::relay::{self, Delivery};
@@ -216,6 +216,12 @@
             return Err(Refusal::not_run(401, "unknown_key"));
         }
         let account = key_account.map(Arc::clone);
+        let mut targets = route.targets.iter().filter(|target| target.weight > 0).peekable();
+        if targets.peek().is_some()
+            && targets.all(|target| self.fleet.is_service_evacuated(&target.service))
+        {
+            return Err(dispatch::evacuated_refusal());
+        }
         self.link_queue
             .borrow_mut()
             .admit(route, body_len, arrival)
