--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -62,6 +62,8 @@
     pub domain: DomainId,
     /// Number of requests that the upstream runs at once.
     pub slots: u32,
+    /// Time for which the upstream stays cold, as stated when the entry was written.
+    pub cold_remaining: Duration,
     /// Whether the upstream must get no new requests.
     pub leaving: bool,
 }
