Log which upstream served a request and what was estimated

The line `request ended` did not say where a request went, so that a late first event could not be traced to its upstream or to a wrong estimate. It now has the id and domain of the upstream, the expected time, the tokens that were assumed to be prefilled and cached, and the time of the first event.

--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -92,6 +92,10 @@
     first_sent_at: Option<Duration>,
     /// Time of the last attempt; zero before the first one.
     last_sent_at: Duration,
+    /// Upstream to which the request was sent last; `None` before the first attempt.
+    pub last_selection: Option<Selection>,
+    /// Time at which the first event or the answer's head arrived; `None` before it.
+    pub answered_at: Option<Duration>,
     /// Number of attempts that sent the request to an upstream.
     pub sent_count: usize,
     /// Whether an upstream may have run the request in an attempt that failed.
@@ -189,6 +193,8 @@
             tried_upstreams: Vec::new(),
             first_sent_at: None,
             last_sent_at: Duration::ZERO,
+            last_selection: None,
+            answered_at: None,
             sent_count: 0,
             may_have_run: false,
         }
@@ -469,6 +475,7 @@
             reserved.mark_started();
         }
         self.sent_count += 1;
+        self.last_selection = Some(selection.clone());
         let sent_at = front.clock.now();
         let flight = Flight::open(
             Rc::clone(upstream),
--- a/crates/front/src/fleet.rs
+++ b/crates/front/src/fleet.rs
@@ -30,6 +30,8 @@
     pub upstream: Rc<Upstream>,
     /// Leading prompt tokens that the upstream probably has cached.
     pub cached_tokens: Tokens,
+    /// Prompt tokens that the upstream probably has to prefill for the request.
+    pub prefill_tokens: Tokens,
     /// Expected time to the first token, or to the answer of a plain request.
     pub expected_seconds: f64,
     /// Number of upstreams that could have been selected.
@@ -290,6 +292,9 @@
         Some(Selection {
             upstream: Rc::clone(usable[index]),
             cached_tokens: candidates[index].cached_tokens,
+            prefill_tokens: params.generation.map_or(0, |generation| {
+                generation.prompt_tokens.saturating_sub(candidates[index].cached_tokens)
+            }),
             expected_seconds: candidates[index].expected_seconds(workload),
             candidate_count: usable.len(),
         })
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -111,7 +111,9 @@
         if call.route.kind.is_stream() && answer.head.status == 200 {
             return Stream::open(call, answer).run(conn, keep_open).await;
         }
-        answer.record_slowness(call.front.clock.now());
+        let now = call.front.clock.now();
+        answer.record_slowness(now);
+        call.answered_at = Some(now);
         let upstream = Rc::clone(answer.flight.upstream());
         match read_answer(&call, conn, answer).await {
             Ok((head, body)) => {
@@ -241,12 +243,20 @@
     let front = &call.front;
     let elapsed = front.clock.now().saturating_sub(call.arrival);
     let account = call.account.as_deref().unwrap_or_default();
+    let selection = call.last_selection.as_ref();
+    let first_time = call.answered_at.map(|at| at.saturating_sub(call.arrival));
     info!(front.log, "request ended"; "request" => call.params.request_id.as_ref(),
         "route" => call.route.name.as_ref(), "account" => account, "service" => &*call.service,
         "config" => call.routing.version, "status" => status, "end" => end, "events" => events,
         "sent" => call.sent_count, "after_ms" => millis(elapsed),
         "prompt" => prompt_tokens(call),
-        "output_max" => call.params.generation.map_or(0, |size| size.max_output_tokens));
+        "output_max" => call.params.generation.map_or(0, |size| size.max_output_tokens),
+        "upstream" => selection.map(|selection| selection.upstream.entry.id.as_ref()),
+        "domain" => selection.map(|selection| selection.upstream.entry.domain.as_ref()),
+        "expected_ms" => selection.map(|selection| selection.expected_seconds * 1e3),
+        "prefill" => selection.map(|selection| selection.prefill_tokens),
+        "cached" => selection.map(|selection| selection.cached_tokens),
+        "first_ms" => first_time.map(millis));
     front.metrics.count_request(&call.route.name, end);
     Metrics::observe(&front.metrics.whole_answer_seconds, account, elapsed);
 }
@@ -460,6 +470,7 @@
         let mut out = BytesMut::with_capacity(chunk.len() + 512);
         if !self.has_begun {
             self.has_begun = true;
+            self.call.answered_at = Some(now);
             self.answer.record_slowness(now);
             let account = self.call.account.as_deref().unwrap_or_default();
             let first_byte_time = now.saturating_sub(self.call.arrival);
