Estimate what a request costs from what the instance observes

Placement assumed 60,000 prefilled tokens a second, steps of 20 ms and a tolerance of 2.5 for slow upstreams at every service. Upstreams that differ in speed, share their machines with other work or serve other instances looked alike, and long prompts waited at slow ones.

`route::cost` learns the prefill speed and the pauses between events of a service, the lasting speed and the present slowness of each upstream, and counts queues in tokens, with those of other instances by the reports and their age. Each factor has an uncertainty that grows with age. Placement takes the least expected time with a part for the uncertainty and for the work that the request adds. The fourth figure of the load, the length hint and `kv_cache_tokens` are decoded.

In `route` `placement`, the slowness of a generation is now `factor`, which has no tolerance; the test of the tolerance keeps its two bars (2.4 keeps the home, 12 avoids it) for the factor. The simulation there uses the default rate in place of the removed constant.

--- a/crates/front/src/codec.rs
+++ b/crates/front/src/codec.rs
@@ -40,6 +40,8 @@
     pub is_not_run: bool,
     /// Running requests, waiting requests and slots of the upstream, in this order.
     pub load: Option<(u32, u32, u32)>,
+    /// Time that work takes there now, relative to its usual time; `None` if not stated.
+    pub slowness: Option<f64>,
     /// Time for which the upstream keeps the idle connection open, if stated.
     pub keep_alive: Option<Duration>,
     /// What the upstream states about itself, whichever request the answer belongs to.
--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -9,6 +9,7 @@
 use h1::{Conn, Framing, Request, Response};
 use ledger::escrow::Reservation;
 use plan::routing::{Kind, Route, Table};
+use route::cost::Report;
 use route::path::State;
 use route::poison::suspect::{self, Admission, Crash, Suspect};
 use route::prefix;
@@ -477,14 +478,8 @@
         self.sent_count += 1;
         self.last_selection = Some(selection.clone());
         let sent_at = front.clock.now();
-        let flight = Flight::open(
-            Rc::clone(upstream),
-            &self.params,
-            selection.cached_tokens,
-            is_proven,
-            !is_tunnel,
-            sent_at,
-        );
+        let flight =
+            Flight::open(Rc::clone(upstream), selection.work, is_proven, !is_tunnel, sent_at);
         let message = self.encode_request(upstream, last_event_id);
         let may_send_more =
             self.route.kind.is_repeatable() && self.sent_count < self.route.max_attempts;
@@ -518,7 +513,8 @@
         let now = front.clock.now();
         flight.record_answered(now);
         if let Some((running, waiting, _)) = metadata.load {
-            upstream.record_load(running, waiting, now);
+            let slowness = metadata.slowness;
+            upstream.record_load(Report { running, waiting, slowness }, now);
         }
         let expected_seconds = selection.expected_seconds;
         Ok(Answer { conn, head, metadata, flight, is_reusable, sent_at, expected_seconds })
--- a/crates/front/src/fleet.rs
+++ b/crates/front/src/fleet.rs
@@ -5,11 +5,12 @@
 use std::rc::Rc;
 
 use base::prelude::*;
+use route::cost::{self, Work};
 use route::placement::{self, Workload};
 use route::prefix;
 
 use crate::params::Params;
-use crate::upstream::{Entry, Upstream};
+use crate::upstream::{Demand, Entry, Upstream};
 
 /// Expected duration of a plain request at a slowness of 1.
 const PLAIN_CALL_SECONDS: f64 = 0.02;
@@ -30,8 +31,8 @@
     pub upstream: Rc<Upstream>,
     /// Leading prompt tokens that the upstream probably has cached.
     pub cached_tokens: Tokens,
-    /// Prompt tokens that the upstream probably has to prefill for the request.
-    pub prefill_tokens: Tokens,
+    /// What the request is expected to cost there; `None` for plain requests.
+    pub work: Option<Work>,
     /// Expected time to the first token, or to the answer of a plain request.
     pub expected_seconds: f64,
     /// Number of upstreams that could have been selected.
@@ -53,6 +54,10 @@
     domain: DomainId,
     upstreams: RefCell<HashMap<UpstreamId, Rc<Upstream>>>,
     services: RefCell<HashMap<ServiceId, Vec<Rc<Upstream>>>>,
+    /// Rates that are usual at the upstreams of each service; kept while this instance runs.
+    rates: RefCell<HashMap<ServiceId, Rc<Cell<cost::Service>>>>,
+    /// Tokens that fit into the key-value cache of one upstream, by service.
+    memory_limits: RefCell<HashMap<ServiceId, Tokens>>,
     /// Most requests of this instance in flight at one upstream, by service.
     connection_limits: RefCell<HashMap<ServiceId, usize>>,
     /// Rejections per second that an upstream of a brittle service can bear.
@@ -70,6 +75,8 @@
             domain,
             upstreams: RefCell::default(),
             services: RefCell::default(),
+            rates: RefCell::default(),
+            memory_limits: RefCell::default(),
             connection_limits: RefCell::default(),
             brittle_limits: RefCell::default(),
             version: Cell::new(0),
@@ -164,6 +171,11 @@
         *self.connection_limits.borrow_mut() = limits;
     }
 
+    /// Replaces the memory of an upstream in tokens, by service; unknown without an entry.
+    pub fn set_memory_limits(&self, limits: HashMap<ServiceId, Tokens>) {
+        *self.memory_limits.borrow_mut() = limits;
+    }
+
     /// Applies one change; returns true if it changed the fleet.
     pub fn apply(&self, change: &Change) -> bool {
         !self.apply_all(std::slice::from_ref(change)).is_empty()
@@ -202,7 +214,9 @@
             known.leaving.set(true);
         }
         let id = Arc::clone(&entry.id);
-        upstreams.insert(id, Rc::new(Upstream::open(entry.clone(), 1.0)));
+        let mut rates = self.rates.borrow_mut();
+        let service = Rc::clone(rates.entry(Arc::clone(&entry.service)).or_default());
+        upstreams.insert(id, Rc::new(Upstream::open(entry.clone(), service, 1.0)));
         true
     }
 
@@ -264,6 +278,25 @@
         let rendezvous_pair = rendezvous_pair(&usable, params, &prefix_hashes);
         let shared: Tokens =
             params.prompt_parts[..params.shared_part_count()].iter().map(|part| part.tokens).sum();
+        let rates = self.rates.borrow();
+        let mut learned = rates.get(service)?.get();
+        let generation = params.generation.unwrap_or_default();
+        if params.generation.is_some() {
+            let own = usable.iter().map(|upstream| upstream.own_work(&learned, now));
+            let sum = |sum: (usize, f64, Tokens), own: (usize, f64, Tokens)| {
+                (sum.0 + own.0, sum.1 + own.1, sum.2 + own.2)
+            };
+            let (requests, queued, memory) = own.fold((0, 0.0, 0), sum);
+            learned.observe_own(requests, queued, memory);
+            rates.get(service)?.set(learned);
+        }
+        let demand = Demand {
+            domain: &self.domain,
+            service: &learned,
+            prompt_tokens: generation.prompt_tokens,
+            output_tokens: expected_output(params),
+            memory_limit: self.memory_limits.borrow().get(service).copied(),
+        };
         let candidates: Vec<placement::Candidate> = usable
             .iter()
             .enumerate()
@@ -274,7 +307,7 @@
                     Some((_, second)) if second == index => scale(shared, SECOND_CACHED_RATIO),
                     _ => 0,
                 };
-                let mut candidate = upstream.candidate(known.max(assumed), &self.domain, now);
+                let mut candidate = upstream.candidate(&demand, known.max(assumed), now);
                 if params.generation.is_none() {
                     candidate.slowness *= PLAIN_CALL_SECONDS;
                 }
@@ -289,18 +322,29 @@
             prefix::mix(prefix::extend_hash(seed, usable[index].entry.id.as_bytes()))
         };
         let index = placement::choose(workload, &candidates, tie)?;
+        let chosen = &candidates[index];
+        let work = params.generation.map(|generation| Work {
+            prefill_tokens: generation.prompt_tokens.saturating_sub(chosen.cached_tokens),
+            memory_tokens: demand.memory_tokens(chosen.cached_tokens),
+            queued_tokens: chosen.queued_tokens,
+            factor: chosen.factor,
+        });
         Some(Selection {
             upstream: Rc::clone(usable[index]),
-            cached_tokens: candidates[index].cached_tokens,
-            prefill_tokens: params.generation.map_or(0, |generation| {
-                generation.prompt_tokens.saturating_sub(candidates[index].cached_tokens)
-            }),
-            expected_seconds: candidates[index].expected_seconds(workload),
+            cached_tokens: chosen.cached_tokens,
+            work,
+            expected_seconds: chosen.expected_seconds(workload),
             candidate_count: usable.len(),
         })
     }
 }
 
+/// Returns the output tokens that a request is expected to need.
+fn expected_output(params: &Params) -> Tokens {
+    let most = params.generation.map_or(0, |generation| generation.max_output_tokens);
+    params.length_hint.map_or(most, |hint| hint.min(most))
+}
+
 #[expect(
     clippy::cast_precision_loss,
     clippy::cast_possible_truncation,
--- a/crates/front/src/params.rs
+++ b/crates/front/src/params.rs
@@ -32,6 +32,8 @@
     pub timeout: Option<Duration>,
     /// Token counts of a generation; `None` for plain requests.
     pub generation: Option<Generation>,
+    /// Output tokens that the caller expects, often far off; `None` if it states none.
+    pub length_hint: Option<Tokens>,
     /// Parts of the prompt in order; other requests may share all but the last.
     pub prompt_parts: Vec<Part>,
     /// Id of the last event that the caller received, if it resumes a stream.
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -254,7 +254,7 @@
         "upstream" => selection.map(|selection| selection.upstream.entry.id.as_ref()),
         "domain" => selection.map(|selection| selection.upstream.entry.domain.as_ref()),
         "expected_ms" => selection.map(|selection| selection.expected_seconds * 1e3),
-        "prefill" => selection.map(|selection| selection.prefill_tokens),
+        "prefill" => selection.and_then(|selection| Some(selection.work?.prefill_tokens)),
         "cached" => selection.map(|selection| selection.cached_tokens),
         "first_ms" => first_time.map(millis));
     front.metrics.count_request(&call.route.name, end);
@@ -482,7 +482,7 @@
             let shared_hashes = &prefix_hashes[..self.call.params.shared_part_count()];
             self.answer.flight.upstream().record_cached(shared_hashes, now);
         }
-        self.answer.flight.record_progress(now);
+        self.answer.flight.record_progress(count, now);
         out.extend_from_slice(format!("{:x}\r\n", chunk.len()).as_bytes());
         out.extend_from_slice(&chunk);
         out.extend_from_slice(b"\r\n");
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -8,13 +8,14 @@
 use base::prelude::*;
 use h1::Conn;
 use route::brittle::{Brittle, Load, Rank};
+use route::cost::{self, Report, Work};
 use route::placement::{Average, Candidate};
 use route::prefix::Hash;
 use route::throttle::Throttle;
 use slotmap::{SlotMap, new_key_type};
 use tokio::sync::Notify;
 
-use crate::params::{Params, Part};
+use crate::params::Part;
 
 new_key_type! {
     /// Key of a request in flight at an upstream.
@@ -27,8 +28,10 @@
 const KEEP_ALIVE_DEFAULT: Duration = Duration::from_secs(4);
 /// Last part of its lifetime, in which an idle connection is not reused.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
-/// Age at which a reported load of other instances counts half.
-const OTHERS_LOAD_HALF_LIFE: Duration = Duration::from_millis(1_500);
+/// Shortest time over which the pauses between the events of a stream are averaged.
+///
+/// It keeps the cost of an event low, and events that arrive together from counting as fast ones.
+const PAUSE_WINDOW: Duration = Duration::from_millis(40);
 /// Time after its last use for which a prompt part is assumed cached.
 const CACHE_TTL: Duration = Duration::from_secs(30);
 /// Number of remembered prompt parts above which expired ones are removed.
@@ -66,6 +69,29 @@
     pub leaving: bool,
 }
 
+/// What a request needs at any upstream, as far as it is the same at all of them.
+#[derive(Debug, Clone, Copy)]
+pub struct Demand<'a> {
+    /// Failure domain of this instance.
+    pub domain: &'a str,
+    /// Rates of the service.
+    pub service: &'a cost::Service,
+    /// Tokens of the prompt; 0 for plain requests.
+    pub prompt_tokens: Tokens,
+    /// Expected tokens of the output.
+    pub output_tokens: Tokens,
+    /// Tokens that fit into the key-value cache of an upstream; `None` if unknown.
+    pub memory_limit: Option<Tokens>,
+}
+
+impl Demand<'_> {
+    /// Returns the tokens of memory that the request adds where so many are cached.
+    #[must_use]
+    pub fn memory_tokens(&self, cached: Tokens) -> Tokens {
+        self.prompt_tokens.saturating_sub(cached).saturating_add(self.output_tokens)
+    }
+}
+
 #[derive(Debug)]
 struct Idle {
     conn: Conn,
@@ -77,8 +103,13 @@
 #[derive(Debug, Clone, Copy)]
 struct InFlight {
     last_progress_at: Duration,
-    /// Prompt tokens that the upstream still has to process; 0 after its first event.
-    unprocessed_tokens: Tokens,
+    sent_at: Duration,
+    /// What the request was expected to cost; `None` for plain requests.
+    work: Option<Work>,
+    /// Whether an event has arrived, before which the whole prompt was processed.
+    has_begun: bool,
+    /// When the present window of pauses began, and its events.
+    pauses: (Duration, u64),
     /// Whether the request was sent over a connection of this instance.
     is_direct: bool,
     /// Whether the head of its answer has arrived.
@@ -99,8 +130,9 @@
     /// Whether an answer of the upstream has stated that it leaves.
     pub has_stated_leaving: Cell<bool>,
     flights: RefCell<SlotMap<FlightKey, InFlight>>,
-    /// Requests of other instances there, and the time of the report.
-    others_load: Cell<(f64, Duration)>,
+    /// Rates of the service, which its upstreams share.
+    service: Rc<Cell<cost::Service>>,
+    cost: RefCell<cost::Upstream>,
     /// Running and waiting requests of the last report, and its time.
     reported_load: Cell<Option<(u32, u32, Duration)>>,
     slowness: RefCell<Average>,
@@ -123,10 +155,10 @@
 impl Upstream {
     /// Opens the state of an upstream.
     ///
-    /// Its slowness starts at `slowness` and decays to it without new answers; 1 means as fast as
-    /// expected.
+    /// `service` holds the rates that all upstreams of the service share. The slowness starts at
+    /// `slowness` and decays to it without new answers; 1 means as fast as expected.
     #[must_use]
-    pub fn open(entry: Entry, slowness: f64) -> Self {
+    pub fn open(entry: Entry, service: Rc<Cell<cost::Service>>, slowness: f64) -> Self {
         Self {
             leaving: Cell::new(entry.leaving),
             paused_until: Cell::default(),
@@ -135,7 +167,8 @@
             has_stated_leaving: Cell::new(false),
             entry,
             flights: RefCell::default(),
-            others_load: Cell::default(),
+            service,
+            cost: RefCell::default(),
             reported_load: Cell::default(),
             slowness: RefCell::new(Average::open(slowness)),
             failure_ratio: RefCell::new(Average::open(0.0)),
@@ -168,30 +201,46 @@
     }
 
     /// Describes the upstream for the placement of a request.
-    ///
-    /// `cached` counts the prompt tokens assumed cached there; `domain` is that of this instance.
     #[must_use]
     #[expect(
         clippy::cast_precision_loss,
         reason = "counts are far below the 52 bits of a mantissa"
     )]
-    pub fn candidate(&self, cached: Tokens, domain: &str, now: Duration) -> Candidate {
+    pub fn candidate(&self, demand: &Demand<'_>, cached: Tokens, now: Duration) -> Candidate {
         let flights = self.flights.borrow();
         let oldest = flights.values().map(|flight| flight.last_progress_at).min();
-        let (others_load, at) = self.others_load.get();
-        let age = now.saturating_sub(at).as_secs_f64() / OTHERS_LOAD_HALF_LIFE.as_secs_f64();
+        let service = demand.service;
+        let cost = self.cost.borrow();
+        let (factor, uncertainty) = cost.factor(now);
+        let others = cost.others_load(service, now);
+        let used = cost.memory_tokens() as f64 + others * service.memory_tokens();
+        let needed = demand.memory_tokens(cached) as f64;
+        let limit = demand.memory_limit.map_or(f64::INFINITY, |limit| limit as f64);
         Candidate {
             slots: f64::from(self.entry.slots),
-            load: flights.len() as f64 + others_load * 0.5_f64.powf(age),
-            backlog_tokens: flights.values().map(|flight| flight.unprocessed_tokens).sum(),
+            load: flights.len() as f64 + others,
+            queued_tokens: cost.queued_tokens(service, factor, now)
+                + others * service.queued_tokens(),
             cached_tokens: cached,
+            rates: service.rates,
+            factor,
+            uncertainty,
+            memory_seconds: cost::Upstream::memory_seconds(service, used, needed, limit),
             slowness: self.slowness.borrow().value_at(now),
             failure_ratio: self.failure_ratio.borrow().value_at(now),
             silent_for: oldest.map_or(Duration::ZERO, |at| now.saturating_sub(at)),
-            is_local: &*self.entry.domain == domain,
+            is_local: *self.entry.domain == *demand.domain,
         }
     }
 
+    /// Returns the requests of this instance there, and their waiting tokens and memory.
+    #[must_use]
+    pub fn own_work(&self, service: &cost::Service, now: Duration) -> (usize, f64, Tokens) {
+        let cost = self.cost.borrow();
+        let (factor, _) = cost.factor(now);
+        (self.in_flight(), cost.queued_tokens(service, factor, now), cost.memory_tokens())
+    }
+
     /// Stops new requests, because an answer has stated that the upstream leaves.
     ///
     /// Returns false if one has done so before.
@@ -264,11 +313,11 @@
     }
 
     /// Records a load report that an answer carried.
-    pub fn record_load(&self, running: u32, waiting: u32, now: Duration) {
-        let own = u32::try_from(self.in_flight()).unwrap_or(u32::MAX);
-        let others_load = running.saturating_add(waiting).saturating_sub(own);
-        self.others_load.set((f64::from(others_load), now));
-        self.reported_load.set(Some((running, waiting, now)));
+    pub fn record_load(&self, report: Report, now: Duration) {
+        let mut service = self.service.get();
+        self.cost.borrow_mut().observe_report(&mut service, report, self.in_flight(), now);
+        self.service.set(service);
+        self.reported_load.set(Some((report.running, report.waiting, now)));
     }
 
     /// Returns the leading tokens of a prompt that this instance expects to be cached there.
@@ -424,23 +473,27 @@
 }
 
 impl Flight {
-    /// Counts a request whose leading `cached_tokens` are assumed cached.
+    /// Counts a request that was expected to cause `work`; `None` for plain requests.
     ///
     /// `is_proven` tells whether its connection leads certainly to the listed incarnation, and
     /// `is_direct` whether it is one of this instance.
     #[must_use]
     pub fn open(
         upstream: Rc<Upstream>,
-        params: &Params,
-        cached_tokens: Tokens,
+        work: Option<Work>,
         is_proven: bool,
         is_direct: bool,
         now: Duration,
     ) -> Self {
-        let prompt_tokens = params.generation.map_or(0, |generation| generation.prompt_tokens);
+        if let Some(work) = &work {
+            upstream.cost.borrow_mut().start(work, now);
+        }
         let flight = InFlight {
             last_progress_at: now,
-            unprocessed_tokens: prompt_tokens.saturating_sub(cached_tokens),
+            sent_at: now,
+            work,
+            has_begun: false,
+            pauses: (now, 0),
             is_direct,
             is_answered: false,
         };
@@ -465,15 +518,52 @@
         self.upstream.release(conn, self.is_proven, keep_alive, now);
     }
 
-    /// Records that an event has arrived, before which the whole prompt was processed.
-    pub fn record_progress(&self, now: Duration) {
-        if let Some(flight) = self.upstream.flights.borrow_mut().get_mut(self.key) {
+    /// Records that so many events have arrived together.
+    ///
+    /// Before the first one the whole prompt was processed.
+    pub fn record_progress(&self, events: u64, now: Duration) {
+        let mut flights = self.upstream.flights.borrow_mut();
+        let load = flights.len();
+        if let Some(flight) = flights.get_mut(self.key) {
             flight.last_progress_at = now;
-            flight.unprocessed_tokens = 0;
+            if let Some(work) = flight.work {
+                self.observe_progress(flight, &work, events, load, now);
+            }
         }
+        drop(flights);
         self.record_heard(now);
     }
 
+    /// Learns from the time of a first event, or from the pauses between the following ones.
+    #[expect(clippy::cast_precision_loss, reason = "an estimate needs no more than 52 bits")]
+    fn observe_progress(
+        &self,
+        flight: &mut InFlight,
+        work: &Work,
+        events: u64,
+        load: usize,
+        now: Duration,
+    ) {
+        let mut service = self.upstream.service.get();
+        let mut cost = self.upstream.cost.borrow_mut();
+        if std::mem::replace(&mut flight.has_begun, true) {
+            let (since, count) = (flight.pauses.0, flight.pauses.1 + events);
+            flight.pauses.1 = count;
+            let time = now.saturating_sub(since);
+            if time >= PAUSE_WINDOW && count > 0 {
+                flight.pauses = (now, 0);
+                let load = load as f64 + cost.others_load(&service, now);
+                cost.observe_pause(&mut service, time.as_secs_f64() / count as f64, load, now);
+            }
+        } else {
+            flight.pauses = (now, 0);
+            cost.end_prefill(work, now);
+            let seconds = now.saturating_sub(flight.sent_at).as_secs_f64();
+            cost.observe_first_event(&mut service, work, seconds, now);
+        }
+        self.upstream.service.set(service);
+    }
+
     /// Records that the head of the answer has arrived.
     pub fn record_answered(&self, now: Duration) {
         if let Some(flight) = self.upstream.flights.borrow_mut().get_mut(self.key) {
@@ -500,6 +590,17 @@
 
 impl Drop for Flight {
     fn drop(&mut self) {
-        self.upstream.flights.borrow_mut().remove(self.key);
+        let Some(flight) = self.upstream.flights.borrow_mut().remove(self.key) else { return };
+        let Some(work) = flight.work else { return };
+        let mut cost = self.upstream.cost.borrow_mut();
+        cost.end(&work);
+        if flight.has_begun {
+            let run = flight.last_progress_at.saturating_sub(flight.sent_at);
+            let mut service = self.upstream.service.get();
+            service.observe_run(run.as_secs_f64());
+            self.upstream.service.set(service);
+        } else {
+            cost.end_prefill(&work, flight.last_progress_at);
+        }
     }
 }
--- a/crates/plan/src/routing.rs
+++ b/crates/plan/src/routing.rs
@@ -102,13 +102,15 @@
     }
 }
 
-/// Token count of a service's events, and its connection limit.
+/// Token count of a service's events, its connection limit and the memory of its upstreams.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Service {
     /// Tokens counted for each event of a stream.
     pub tokens_per_event: Tokens,
     /// Most connections that one upstream accepts from all instances together.
     pub connection_limit: usize,
+    /// Tokens that fit into the key-value cache of one upstream; `None` if unknown.
+    pub kv_cache_tokens: Option<Tokens>,
 }
 
 /// Priority and prepaid tokens of a client account.
@@ -217,4 +219,10 @@
         let accounts = self.accounts.iter();
         accounts.map(|(id, account)| (Arc::clone(id), account.prepaid_tokens)).collect()
     }
+    /// Returns the tokens that fit into the key-value cache of an upstream, where known.
+    #[must_use]
+    pub fn memory_limits(&self) -> HashMap<ServiceId, Tokens> {
+        let services = self.services.iter();
+        services.filter_map(|(id, one)| Some((Arc::clone(id), one.kv_cache_tokens?))).collect()
+    }
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,7 +1,7 @@
 //! Load balancing: the choice of an upstream for each request.
 //!
 //! There are two ways to choose: [`fleet`] applies a policy of [`balancer`] to polled reports, and
-//! [`placement`] compares expected times. [`poison`] rejects requests that crash upstreams, and
+//! [`placement`] compares the expected times that [`cost`] estimates. [`poison`] rejects requests that crash upstreams, and
 //! [`retry`] limits retries, [`throttle`] the requests to an upstream that states a limit, and
 //! [`brittle`] those to an upstream that fails when it must turn requests away.
 //! [`origin`] finds the software version at which an interrupted stream may go on, and [`path`]
@@ -10,6 +10,7 @@
 pub mod balancer;
 pub mod brittle;
 pub mod cache;
+pub mod cost;
 pub mod error;
 pub mod fleet;
 pub mod health;
--- a/crates/route/src/placement.rs
+++ b/crates/route/src/placement.rs
@@ -4,22 +4,29 @@
 //! the upstream that all instances derive from these parts, so that the prefix is prefilled once.
 //! They spill over to another upstream only when queueing costs more than a second prefill. Slow or
 //! failing upstreams: recent slowness and failures raise the expected time and decay, so that the
-//! upstream is tried again without a separate rule.
+//! upstream is tried again without a separate rule. Times and queues are estimates of
+//! [`crate::cost`].
 
 use base::prelude::*;
 
-/// Assumed prefill speed of an engine, since reports do not contain it.
-pub const PREFILL_TOKENS_PER_SECOND: f64 = 60_000.0;
+use crate::cost::Rates;
+
 /// Growth of the step time per request in the batch, relative to an empty batch.
 const SLOWDOWN_PER_REQUEST: f64 = 0.006;
-/// Time of one generated event in an empty batch, in seconds.
-const STEP_SECONDS: f64 = 0.02;
 /// Added time of an upstream in another failure domain, in seconds.
 const REMOTE_PENALTY_SECONDS: f64 = 0.002;
 /// Time that a failed request costs the caller, in seconds.
 const FAILURE_COST_SECONDS: f64 = 2.0;
-/// Slowness up to which an upstream is not penalized.
-const SLOWNESS_TOLERANCE: f64 = 2.5;
+/// Weight of the uncertainty of a time, since a late answer costs more than an early one gains.
+const RISK_WEIGHT: f64 = 0.3;
+/// Weight of the prefill that a request causes, since it delays those that come after it.
+const WORK_WEIGHT: f64 = 0.3;
+/// Difference from the best up to which candidates tie, in seconds.
+const TIE_SECONDS: f64 = 0.001;
+/// Difference from the best up to which candidates tie, relative to the best.
+///
+/// Instances that know the same do not all choose the same upstream.
+const TIE_RATIO: f64 = 0.05;
 /// Silence after which each further second adds a second to the expected time.
 const STALL_THRESHOLD: Duration = Duration::from_millis(1_200);
 
@@ -30,13 +37,19 @@
     pub slots: f64,
     /// Running and queued requests there, of this and other instances.
     pub load: f64,
-    /// Prompt tokens of requests of this instance that have no response yet.
-    pub backlog_tokens: Tokens,
+    /// Prompt tokens that wait there, of this and other instances.
+    pub queued_tokens: f64,
     /// Leading tokens of the prompt that are probably cached there.
     pub cached_tokens: Tokens,
-    /// Observed time divided by the expected one.
-    ///
-    /// For plain calls, the ratio is multiplied by their usual duration in seconds.
+    /// Rates that are usual for the service.
+    pub rates: Rates,
+    /// Times there relative to the usual ones, for generations.
+    pub factor: f64,
+    /// Standard deviation of the logarithm of `factor`.
+    pub uncertainty: f64,
+    /// Time until the memory suffices for the request, in seconds.
+    pub memory_seconds: f64,
+    /// Observed time of plain calls divided by the expected one, in seconds.
     pub slowness: f64,
     /// Fraction of recent requests that failed there, 0 to 1.
     pub failure_ratio: f64,
@@ -63,27 +76,22 @@
     /// ```
     /// # use std::time::Duration;
     /// use route::placement::{Candidate, Workload};
-    /// # let idle = Candidate { slots: 64.0, load: 0.0, backlog_tokens: 0, cached_tokens: 0,
+    /// # let idle = Candidate { slots: 64.0, load: 0.0, queued_tokens: 0.0, cached_tokens: 0,
+    /// #     rates: Default::default(), factor: 1.0, uncertainty: 0.0, memory_seconds: 0.0,
     /// #     slowness: 1.0, failure_ratio: 0.0, silent_for: Duration::ZERO, is_local: true };
     /// let warm = Candidate { cached_tokens: 9_000, ..idle };
     /// let workload = Workload::Generation(10_000);
     /// assert!(warm.expected_seconds(workload) < idle.expected_seconds(workload));
     /// ```
     #[must_use]
-    #[expect(clippy::cast_precision_loss, reason = "an estimate needs no more than 52 bits")]
     pub fn expected_seconds(&self, workload: Workload) -> f64 {
         let slots = self.slots.max(1.0);
         let queue = (self.load + 1.0 - slots).max(0.0);
         let seconds = match workload {
             Workload::Generation(prompt) => {
-                let prefill_tokens =
-                    prompt.saturating_sub(self.cached_tokens) + self.backlog_tokens;
-                let step_seconds = STEP_SECONDS * (1.0 + SLOWDOWN_PER_REQUEST * self.load);
-                // The time of a request varies with concurrent prefills, so only a slowness above
-                // the tolerance indicates a slow engine.
-                let slowness = (self.slowness / SLOWNESS_TOLERANCE).max(1.0);
-                (prefill_tokens as f64 / PREFILL_TOKENS_PER_SECOND + step_seconds) * slowness
-                    + queue * STEP_SECONDS
+                self.first_event_seconds(prompt)
+                    + queue * self.rates.run_seconds / slots
+                    + self.memory_seconds
             }
             Workload::Plain => self.slowness * (1.0 + (self.load / slots).min(1.0) + queue / slots),
         };
@@ -91,9 +99,35 @@
         let remote_seconds = if self.is_local { 0.0 } else { REMOTE_PENALTY_SECONDS };
         seconds + stalled_seconds + remote_seconds + FAILURE_COST_SECONDS * self.failure_ratio
     }
+
+    /// Returns the time from the start of the prefill to the first event.
+    fn first_event_seconds(&self, prompt: Tokens) -> f64 {
+        let tokens = self.prefill_tokens(prompt) + self.queued_tokens;
+        let event_seconds = self.rates.event_seconds * (1.0 + SLOWDOWN_PER_REQUEST * self.load);
+        (tokens * self.rates.token_seconds + event_seconds) * self.factor
+    }
+
+    #[expect(clippy::cast_precision_loss, reason = "an estimate needs no more than 52 bits")]
+    fn prefill_tokens(&self, prompt: Tokens) -> f64 {
+        prompt.saturating_sub(self.cached_tokens) as f64
+    }
+
+    /// Returns what the request costs there in seconds: the expected time, the risk that it takes
+    /// longer, and the delay of other requests.
+    fn cost(&self, workload: Workload) -> f64 {
+        let added = match workload {
+            Workload::Generation(prompt) => {
+                let risk = self.first_event_seconds(prompt) * self.uncertainty;
+                let work = self.prefill_tokens(prompt) * self.rates.token_seconds * self.factor;
+                RISK_WEIGHT * risk + WORK_WEIGHT * work
+            }
+            Workload::Plain => 0.0,
+        };
+        self.expected_seconds(workload) + added
+    }
 }
 
-/// Returns the index of the least expected time; `None` without candidates.
+/// Returns the index of the least cost; `None` without candidates.
 ///
 /// Among nearly equal candidates, the one with the greatest `tie_break` wins.
 #[must_use]
@@ -102,11 +136,10 @@
     candidates: &[Candidate],
     tie_break: impl Fn(usize) -> u64,
 ) -> Option<usize> {
-    /// Difference from the best up to which candidates tie, in seconds.
-    const TIE_SECONDS: f64 = 0.001;
-    let cost = |index: usize| candidates[index].expected_seconds(workload);
+    let cost = |index: usize| candidates[index].cost(workload);
     let best = (0..candidates.len()).map(cost).min_by(f64::total_cmp)?;
-    let tied = (0..candidates.len()).filter(|index| cost(*index) <= best + TIE_SECONDS);
+    let limit = best + TIE_SECONDS + TIE_RATIO * best;
+    let tied = (0..candidates.len()).filter(|index| cost(*index) <= limit);
     tied.max_by_key(|index| tie_break(*index))
 }
 
--- a/crates/route/tests/placement.rs
+++ b/crates/route/tests/placement.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use route::cost::Rates;
 use route::placement::{Average, Candidate, Workload, choose};
 use route::retry::{Limiter, Limits};
 
@@ -13,8 +14,12 @@
 const IDLE: Candidate = Candidate {
     slots: 64.0,
     load: 0.0,
-    backlog_tokens: 0,
+    queued_tokens: 0.0,
     cached_tokens: 0,
+    rates: Rates::DEFAULT,
+    factor: 1.0,
+    uncertainty: 0.0,
+    memory_seconds: 0.0,
     slowness: 1.0,
     failure_ratio: 0.0,
     silent_for: Duration::ZERO,
@@ -39,15 +44,9 @@
             .map(|index| {
                 let is_cached = has_prefix[index] || (has_home && index == 0);
                 let queue = busy_until[index].saturating_sub(now).as_secs_f64();
-                #[expect(
-                    clippy::cast_possible_truncation,
-                    clippy::cast_sign_loss,
-                    reason = "the queue of the simulation is short"
-                )]
-                let backlog_tokens = (queue * route::placement::PREFILL_TOKENS_PER_SECOND) as u64;
                 Candidate {
                     cached_tokens: if is_cached { SHARED_TOKENS } else { 0 },
-                    backlog_tokens,
+                    queued_tokens: queue / Rates::DEFAULT.token_seconds,
                     ..IDLE
                 }
             })
@@ -67,7 +66,7 @@
         prefilled += tokens;
         let time = Duration::from_secs_f64(
             f64::from(u32::try_from(tokens).expect("a prompt fits into 32 bits"))
-                / route::placement::PREFILL_TOKENS_PER_SECOND,
+                * Rates::DEFAULT.token_seconds,
         );
         busy_until[index] = busy_until[index].max(now) + time;
         longest_wait = longest_wait.max(busy_until[index].saturating_sub(now));
@@ -118,9 +117,9 @@
 }
 
 #[test]
-fn slowness_within_the_tolerance_is_ignored_and_a_slow_engine_is_avoided() {
-    let pick = |slowness| {
-        let home = Candidate { slowness, cached_tokens: SHARED_TOKENS, ..IDLE };
+fn a_home_that_is_little_slower_keeps_its_prefix_and_a_slow_one_is_avoided() {
+    let pick = |factor| {
+        let home = Candidate { factor, cached_tokens: SHARED_TOKENS, ..IDLE };
         choose(Workload::Generation(PROMPT_TOKENS), &[home, IDLE], |_| 0)
     };
     assert_eq!(pick(2.4), Some(0));
