Estimate output lengths from answers and hints, and log what an estimate was based on

A hint is often far off and the maximum output is rarely used, so that the memory of a request was overestimated. The length is now learned by route and client account, and a hint counts by its error so far. The line `request ended` has the queue, the factor of the upstream with its uncertainty, the learned prefill speed and the expected output.

Run: end_to_end (60 passed) and decode (54) of platform; cost (11) and placement (6) of route.

--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -74,6 +74,8 @@
     pub reserved: Option<Reservation>,
     /// Parameters decoded from the request's head.
     pub params: Params,
+    /// Expected tokens of the output; 0 for plain requests.
+    pub output_tokens: Tokens,
     /// Head as the caller sent it.
     pub head: Request,
     /// Whole body of the request.
@@ -175,6 +177,7 @@
         );
         let mut suspects = vec![request_id];
         suspects.extend(params.shared_part_ids(&service));
+        let output_tokens = front.fleet.expected_output(&route.name, account.as_ref(), &params);
         let time_limit = params.timeout.map_or(route.timeout, |time| time.min(route.timeout));
         Self {
             front: Rc::clone(front),
@@ -184,6 +187,7 @@
             account,
             reserved,
             params,
+            output_tokens,
             head,
             body,
             arrival,
@@ -311,7 +315,8 @@
         };
         let select = |admits: &dyn Fn(&Upstream) -> bool| {
             let admits = |upstream: &Upstream| admits(upstream) && has_room(upstream);
-            front.fleet.select(&self.service, &self.params, &self.tried_upstreams, admits, now)
+            let (output, tried) = (self.output_tokens, &self.tried_upstreams);
+            front.fleet.select(&self.service, &self.params, output, tried, admits, now)
         };
         let is_announced =
             |entry: &Entry| front.origins.is_announced(&entry.service, &entry.version);
--- a/crates/front/src/fleet.rs
+++ b/crates/front/src/fleet.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use base::prelude::*;
-use route::cost::{self, Work};
+use route::cost::{self, Length, Work};
 use route::placement::{self, Workload};
 use route::prefix;
 
@@ -24,6 +24,14 @@
 /// It covers the longest wait of the feed for a change, and that for a late answer.
 const LIST_VALIDITY: Duration = Duration::from_millis(2_600);
 
+/// Most pairs of a route and a client account whose output lengths are remembered.
+///
+/// It bounds the memory where routes or accounts change for as long as the instance runs.
+const MAX_LENGTHS: usize = 4_096;
+
+/// Route and client account of requests whose outputs are about equally long.
+type LengthKey = (Arc<str>, Option<AccountId>);
+
 /// An upstream selected for an attempt of a request.
 #[derive(Debug, Clone)]
 pub struct Selection {
@@ -56,6 +64,8 @@
     services: RefCell<HashMap<ServiceId, Vec<Rc<Upstream>>>>,
     /// Rates that are usual at the upstreams of each service; kept while this instance runs.
     rates: RefCell<HashMap<ServiceId, Rc<Cell<cost::Service>>>>,
+    /// Output lengths by route and client account.
+    lengths: RefCell<HashMap<LengthKey, Length>>,
     /// Tokens that fit into the key-value cache of one upstream, by service.
     memory_limits: RefCell<HashMap<ServiceId, Tokens>>,
     /// Most requests of this instance in flight at one upstream, by service.
@@ -76,6 +86,7 @@
             upstreams: RefCell::default(),
             services: RefCell::default(),
             rates: RefCell::default(),
+            lengths: RefCell::default(),
             memory_limits: RefCell::default(),
             connection_limits: RefCell::default(),
             brittle_limits: RefCell::default(),
@@ -176,6 +187,42 @@
         *self.memory_limits.borrow_mut() = limits;
     }
 
+    /// Returns the output tokens that a generation is expected to need.
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the estimate is positive and at most the largest output of the request"
+    )]
+    pub fn expected_output(
+        &self,
+        route: &Arc<str>,
+        account: Option<&AccountId>,
+        params: &Params,
+    ) -> Tokens {
+        let Some(generation) = params.generation else { return 0 };
+        let lengths = self.lengths.borrow();
+        let length = lengths.get(&(Arc::clone(route), account.map(Arc::clone)));
+        let length = length.copied().unwrap_or_default();
+        length.estimate(params.length_hint, generation.max_output_tokens).0 as Tokens
+    }
+
+    /// Learns from the output of a whole answer.
+    pub fn record_output(
+        &self,
+        route: &Arc<str>,
+        account: Option<&AccountId>,
+        hint: Option<Tokens>,
+        tokens: Tokens,
+    ) {
+        let mut lengths = self.lengths.borrow_mut();
+        if lengths.len() >= MAX_LENGTHS {
+            lengths.clear();
+        }
+        let length = lengths.entry((Arc::clone(route), account.map(Arc::clone)));
+        length.or_default().observe(hint, tokens);
+    }
+
     /// Applies one change; returns true if it changed the fleet.
     pub fn apply(&self, change: &Change) -> bool {
         !self.apply_all(std::slice::from_ref(change)).is_empty()
@@ -249,12 +296,14 @@
 
     /// Selects an upstream of a service that `admits` accepts, except for those in `tried`.
     ///
-    /// Returns `None` if no upstream may get the request.
+    /// `output_tokens` are expected of a generation. Returns `None` if no upstream may get the
+    /// request.
     #[must_use]
     pub fn select(
         &self,
         service: &str,
         params: &Params,
+        output_tokens: Tokens,
         tried: &[UpstreamId],
         admits: impl Fn(&Upstream) -> bool,
         now: Duration,
@@ -294,7 +343,7 @@
             domain: &self.domain,
             service: &learned,
             prompt_tokens: generation.prompt_tokens,
-            output_tokens: expected_output(params),
+            output_tokens,
             memory_limit: self.memory_limits.borrow().get(service).copied(),
         };
         let candidates: Vec<placement::Candidate> = usable
@@ -328,6 +377,8 @@
             memory_tokens: demand.memory_tokens(chosen.cached_tokens),
             queued_tokens: chosen.queued_tokens,
             factor: chosen.factor,
+            uncertainty: chosen.uncertainty,
+            token_seconds: chosen.rates.token_seconds,
         });
         Some(Selection {
             upstream: Rc::clone(usable[index]),
@@ -339,12 +390,6 @@
     }
 }
 
-/// Returns the output tokens that a request is expected to need.
-fn expected_output(params: &Params) -> Tokens {
-    let most = params.generation.map_or(0, |generation| generation.max_output_tokens);
-    params.length_hint.map_or(most, |hint| hint.min(most))
-}
-
 #[expect(
     clippy::cast_precision_loss,
     clippy::cast_possible_truncation,
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -244,6 +244,7 @@
     let elapsed = front.clock.now().saturating_sub(call.arrival);
     let account = call.account.as_deref().unwrap_or_default();
     let selection = call.last_selection.as_ref();
+    let work = selection.and_then(|selection| selection.work);
     let first_time = call.answered_at.map(|at| at.saturating_sub(call.arrival));
     info!(front.log, "request ended"; "request" => call.params.request_id.as_ref(),
         "route" => call.route.name.as_ref(), "account" => account, "service" => &*call.service,
@@ -254,8 +255,13 @@
         "upstream" => selection.map(|selection| selection.upstream.entry.id.as_ref()),
         "domain" => selection.map(|selection| selection.upstream.entry.domain.as_ref()),
         "expected_ms" => selection.map(|selection| selection.expected_seconds * 1e3),
-        "prefill" => selection.and_then(|selection| Some(selection.work?.prefill_tokens)),
+        "prefill" => work.map(|work| work.prefill_tokens),
         "cached" => selection.map(|selection| selection.cached_tokens),
+        "queued" => work.map(|work| work.queued_tokens.round()),
+        "factor" => work.map(|work| work.factor),
+        "uncertainty" => work.map(|work| work.uncertainty),
+        "tokens_per_ms" => work.map(|work| 1e-3 / work.token_seconds),
+        "output" => call.output_tokens,
         "first_ms" => first_time.map(millis));
     front.metrics.count_request(&call.route.name, end);
     Metrics::observe(&front.metrics.whole_answer_seconds, account, elapsed);
@@ -504,6 +510,12 @@
         if self.answer_events >= MIN_BEGUN_EVENTS || self.answer.head.framing != Framing::UntilClose
         {
             self.call.record_whole_answer();
+            if self.call.params.generation.is_some() && !self.call.params.is_resumption() {
+                let (route, account) = (&self.call.route.name, self.call.account.as_ref());
+                let tokens = self.delivered_events * event_tokens(&self.call);
+                let hint = self.call.params.length_hint;
+                self.call.front.fleet.record_output(route, account, hint, tokens);
+            }
         }
         if is_reusable {
             let now = self.call.front.clock.now();
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -236,9 +236,13 @@
     /// Returns the requests of this instance there, and their waiting tokens and memory.
     #[must_use]
     pub fn own_work(&self, service: &cost::Service, now: Duration) -> (usize, f64, Tokens) {
+        let in_flight = self.in_flight();
+        if in_flight == 0 {
+            return (0, 0.0, 0);
+        }
         let cost = self.cost.borrow();
         let (factor, _) = cost.factor(now);
-        (self.in_flight(), cost.queued_tokens(service, factor, now), cost.memory_tokens())
+        (in_flight, cost.queued_tokens(service, factor, now), cost.memory_tokens())
     }
 
     /// Stops new requests, because an answer has stated that the upstream leaves.
--- a/crates/route/src/cost/upstream.rs
+++ b/crates/route/src/cost/upstream.rs
@@ -38,6 +38,10 @@
     pub queued_tokens: f64,
     /// Factor of the times there relative to the service's rates.
     pub factor: f64,
+    /// Standard deviation of the logarithm of `factor`.
+    pub uncertainty: f64,
+    /// Time to prefill a token that is usual for the service, in seconds.
+    pub token_seconds: f64,
 }
 
 /// Load that an answer of an upstream states.
--- a/crates/route/tests/cost.rs
+++ b/crates/route/tests/cost.rs
@@ -13,7 +13,7 @@
 }
 
 fn work(prefill_tokens: u64) -> Work {
-    Work { prefill_tokens, memory_tokens: prefill_tokens, queued_tokens: 0.0, factor: 1.0 }
+    Work { prefill_tokens, memory_tokens: prefill_tokens, factor: 1.0, ..Work::default() }
 }
 
 /// Answers 40 requests in turn at upstreams with these factors, at a prefill speed in tokens a ms.
--- a/crates/route/tests/cost_replay/instance.rs
+++ b/crates/route/tests/cost_replay/instance.rs
@@ -228,6 +228,8 @@
             memory_tokens: prefill_tokens + output,
             queued_tokens: chosen.queued_tokens,
             factor: chosen.factor,
+            uncertainty: chosen.uncertainty,
+            token_seconds: chosen.rates.token_seconds,
         };
         (index, work)
     }
