Weigh single first events and pauses less in the estimate of an upstream's speed

A first event also waits for requests that this instance does not know, so one observation moved the factor of an upstream too far, and its prefixes were prefilled elsewhere. The variances of the noise are raised from 0.3 to 0.8 (first events) and 1.5 (pauses), and candidates tie within 3 instead of 5 in 100 of the best.

--- a/crates/route/src/cost/upstream.rs
+++ b/crates/route/src/cost/upstream.rs
@@ -11,9 +11,9 @@
 /// Present slowness by other work on the machine, which changes several times a second.
 const PRESENT: Prior = Prior { variance: 0.15, half_life: Duration::from_millis(250) };
 /// Noise of a first event, whose prompt waited for requests that are unknown here.
-const FIRST_EVENT_NOISE: f64 = 0.3;
+const FIRST_EVENT_NOISE: f64 = 0.8;
 /// Noise of a mean time between events, which other prompts lengthen.
-const PAUSE_NOISE: f64 = 0.3;
+const PAUSE_NOISE: f64 = 1.5;
 /// Noise of a stated slowness.
 const STATED_NOISE: f64 = 0.01;
 /// Part of a pause's deviation that can show a permanent speed, since pauses follow each other.
--- a/crates/route/src/placement.rs
+++ b/crates/route/src/placement.rs
@@ -26,7 +26,7 @@
 /// Difference from the best up to which candidates tie, relative to the best.
 ///
 /// Instances that know the same do not all choose the same upstream.
-const TIE_RATIO: f64 = 0.05;
+const TIE_RATIO: f64 = 0.03;
 /// Silence after which each further second adds a second to the expected time.
 const STALL_THRESHOLD: Duration = Duration::from_millis(1_200);
 
