--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -9,6 +9,7 @@
 use h1::{Conn, Framing, Request, Response};
 use ledger::escrow::Reservation;
 use plan::routing::{Kind, Route, Table};
+use route::cost::Report;
 use route::path::State;
 use route::poison::suspect::{self, Admission, Crash, Suspect};
 use route::prefix;
@@ -75,6 +76,8 @@
     pub reserved: Option<Reservation>,
     /// Parameters decoded from the request's head.
     pub params: Params,
+    /// Expected tokens of the output; 0 for plain requests.
+    pub output_tokens: Tokens,
     /// Head as the caller sent it.
     pub head: Request,
     /// Whole body of the request.
@@ -94,6 +97,10 @@
     first_sent_at: Option<Duration>,
     /// Time of the last attempt; zero before the first one.
     last_sent_at: Duration,
+    /// Upstream to which the request was sent last; `None` before the first attempt.
+    pub last_selection: Option<Selection>,
+    /// Time at which the first event or the answer's head arrived; `None` before it.
+    pub answered_at: Option<Duration>,
     /// Number of attempts that sent the request to an upstream.
     pub sent_count: usize,
     /// Whether an upstream may have run the request in an attempt that failed.
@@ -175,6 +182,7 @@
         );
         let mut suspects = vec![request_id];
         suspects.extend(params.shared_part_ids(&service));
+        let output_tokens = front.fleet.expected_output(&route.name, account.as_ref(), &params);
         let time_limit = params.timeout.map_or(route.timeout, |time| time.min(route.timeout));
         Self {
             front: Rc::clone(front),
@@ -184,6 +192,7 @@
             account,
             reserved,
             params,
+            output_tokens,
             head,
             body,
             arrival,
@@ -194,6 +203,8 @@
             tried_upstreams: Vec::new(),
             first_sent_at: None,
             last_sent_at: Duration::ZERO,
+            last_selection: None,
+            answered_at: None,
             sent_count: 0,
             may_have_run: false,
         }
@@ -315,7 +326,8 @@
         };
         let select = |admits: &dyn Fn(&Upstream) -> bool| {
             let admits = |upstream: &Upstream| admits(upstream) && has_room(upstream);
-            front.fleet.select(&self.service, &self.params, &self.tried_upstreams, admits, now)
+            let (output, tried) = (self.output_tokens, &self.tried_upstreams);
+            front.fleet.select(&self.service, &self.params, output, tried, admits, now)
         };
         let is_announced =
             |entry: &Entry| front.origins.is_announced(&entry.service, &entry.version);
@@ -484,15 +496,10 @@
             reserved.mark_started();
         }
         self.sent_count += 1;
+        self.last_selection = Some(selection.clone());
         let sent_at = front.clock.now();
-        let flight = Flight::open(
-            Rc::clone(upstream),
-            &self.params,
-            selection.cached_tokens,
-            is_proven,
-            !is_tunnel,
-            sent_at,
-        );
+        let flight =
+            Flight::open(Rc::clone(upstream), selection.work, is_proven, !is_tunnel, sent_at);
         let message = self.encode_request(upstream, last_event_id);
         let may_send_more =
             self.route.kind.is_repeatable() && self.sent_count < self.route.max_attempts;
@@ -526,7 +533,8 @@
         let now = front.clock.now();
         flight.record_answered(now);
         if let Some((running, waiting, _)) = metadata.load {
-            upstream.record_load(running, waiting, now);
+            let slowness = metadata.slowness;
+            upstream.record_load(Report { running, waiting, slowness }, now);
         }
         let expected_seconds = selection.expected_seconds;
         Ok(Answer { conn, head, metadata, flight, is_reusable, sent_at, expected_seconds })
