--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -10,7 +10,9 @@
 pub mod codec;
 pub mod connect;
 pub mod dispatch;
+pub mod evacuation;
 pub mod fleet;
+pub mod gate;
 pub mod link;
 pub mod listener;
 pub mod metric;
