Make the replays of placement repeat by their seed

The cached parts of the model were in a hash map, whose order decided on evictions at equal times, so that the rows of some policies differed between runs.

--- a/crates/route/tests/cost_replay/engine.rs
+++ b/crates/route/tests/cost_replay/engine.rs
@@ -1,6 +1,6 @@
 //! Model of an upstream that prefills prompts in chunks between the steps of a batch.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 /// Prompt tokens that are prefilled between two steps at most.
 const CHUNK_TOKENS: f64 = 1_024.0;
@@ -57,7 +57,7 @@
     waiting: Vec<Job>,
     running: Vec<Run>,
     /// Cached parts with their tokens and last use.
-    cached: HashMap<u64, (f64, f64)>,
+    cached: BTreeMap<u64, (f64, f64)>,
     /// End of the present step; `None` while there is no work.
     pub step_ends: Option<f64>,
     /// Tokens that the present step prefills for the run with this id.
@@ -72,7 +72,7 @@
             seed: salt,
             waiting: Vec::new(),
             running: Vec::new(),
-            cached: HashMap::new(),
+            cached: BTreeMap::new(),
             step_ends: None,
             chunk: None,
         }
