Share the requests that cold upstreams can handle among the instances

Cause: an upstream that has just started handles a few requests a second (cold_per_s of its service) and crashes well above that. Nothing kept the instances, which do not know of each other's requests, from sending it the load of a warm one.

Change: route::cold gives out whole requests a second to the listed instances by a rank that differs for each upstream, at most half of the bound, since two lists of the instances may be in use; the others share a small rate, and an instance that has just started has no part. Cold times come from the entries and from answers; a lost connection counts as a sign of a restart until a connection from before shows otherwise. The part is checked at the selection and again right before the request is sent. Refused callers are told the next free turn. Upstreams that become warm, or whose domain is taken back, get their load in steps. cold_overrun, cold_slack, evacuation_ms and stable_window_ms of the settings are optional. Services without cold_start_s and cold_per_s are not affected.

--- a/crates/front/src/codec.rs
+++ b/crates/front/src/codec.rs
@@ -57,6 +57,8 @@
     pub limit_per_s: Option<f64>,
     /// Requests per second that a brittle upstream can turn away; `None` if it is not brittle.
     pub brittle_limit: Option<usize>,
+    /// Time for which the upstream stays cold; `None` if it states none.
+    pub cold_remaining: Option<Duration>,
 }
 
 /// Decodes and encodes the header fields of a deployment.
--- a/crates/front/src/connect.rs
+++ b/crates/front/src/connect.rs
@@ -363,6 +363,7 @@
         };
         if error.kind() == ErrorKind::ConnectionRefused {
             upstream.record_refusal(now);
+            self.record_loss(upstream, "connect refused");
         }
         let upstream_count = self.fleet.service_size(&entry.service);
         self.with_path(&entry.service, |path| {
--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -129,6 +129,9 @@
     /// The operator has evacuated the domain of the upstream; nothing was sent.
     #[error("evacuated")]
     Evacuated,
+    /// The upstream is cold, and other requests were sent meanwhile; nothing was sent.
+    #[error("cold")]
+    Cold,
     /// Neither this instance nor any that was asked has a path to the service; nothing was sent.
     #[error("no path")]
     NoPath,
@@ -278,7 +281,7 @@
             if matches!(failure, Failure::NoPath) {
                 return Err(self.no_path_refusal());
             }
-            if matches!(failure, Failure::Evacuated) {
+            if matches!(failure, Failure::Evacuated | Failure::Cold) {
                 continue;
             }
             if matches!(failure, Failure::Connect(_) | Failure::Unproven) {
@@ -308,10 +311,11 @@
         let brittle_limit = front.fleet.brittle_limit(&self.service);
         let is_generation = self.params.generation.is_some();
         let has_room = |upstream: &Upstream| {
-            brittle_limit.is_none_or(|limit| {
-                let rank = front.roster.rank(&upstream.entry.id);
-                upstream.admits_brittle(limit, rank, is_generation, now)
-            })
+            front.admits_cold(upstream, now)
+                && brittle_limit.is_none_or(|limit| {
+                    let rank = front.roster.rank(&upstream.entry.id);
+                    upstream.admits_brittle(limit, rank, is_generation, now)
+                })
         };
         let select = |admits: &dyn Fn(&Upstream) -> bool| {
             let admits = |upstream: &Upstream| admits(upstream) && has_room(upstream);
@@ -456,6 +460,9 @@
         let upstream = &selection.upstream;
         let now = front.clock.now();
         let needs_proof = matches!(self.continuation, Continuation::Version(_));
+        if upstream.has_lost_idle(now) {
+            front.record_loss(upstream, "idle connections closed");
+        }
         let idle = upstream.acquire_idle(needs_proof, now);
         let is_reused = idle.is_some();
         let opened = if let Some((conn, is_proven)) = idle {
@@ -480,6 +487,14 @@
         if front.fleet.is_evacuated(upstream) {
             return Err(Failure::Evacuated);
         }
+        let now = front.clock.now();
+        if !front.admits_cold(upstream, now) {
+            if !is_tunnel {
+                upstream.release(conn, is_proven, None, now);
+            }
+            return Err(Failure::Cold);
+        }
+        upstream.record_sent(now);
         if let Some(reserved) = &mut self.reserved {
             reserved.mark_started();
         }
@@ -584,7 +599,8 @@
 
     /// Applies what an answer states about its upstream.
     fn apply_statement(&self, upstream: &Upstream, metadata: &Metadata) {
-        let Statement { is_leaving, pause, limit_per_s, brittle_limit } = metadata.statement;
+        let Statement { is_leaving, pause, limit_per_s, brittle_limit, cold_remaining } =
+            metadata.statement;
         let now = self.front.clock.now();
         let share = limit_per_s.map_or(0.0, |_| self.front.roster.limit_share());
         // A refusal need not repeat the limit, so it does not lift one.
@@ -600,6 +616,9 @@
                 "service" => upstream.entry.service.as_ref(), "limit" => brittle_limit,
                 "request" => self.params.request_id.as_ref());
         }
+        if let Some(remaining) = cold_remaining {
+            self.front.record_cold(upstream, remaining, "answer");
+        }
         if is_leaving && upstream.record_leaving() {
             info!(self.front.log, "upstream leaves"; "upstream" => upstream.entry.id.as_ref(),
                 "request" => self.params.request_id.as_ref());
@@ -630,6 +649,7 @@
             Failure::NotRun(_)
             | Failure::Unproven
             | Failure::Evacuated
+            | Failure::Cold
             | Failure::NoPath
             | Failure::PathLost => {}
             Failure::Exchange(_) | Failure::Timeout | Failure::ServerError(_) => {
@@ -654,6 +674,7 @@
         let front = &self.front;
         let entry = &upstream.entry;
         let run_id = format!("{}@{}", entry.id, entry.born);
+        front.record_loss(upstream, "connection lost");
         let error = match front.verify(upstream).await {
             // The upstream still accepts connections: it lost an answer but did not crash.
             Verdict::Up(Opened { conn, is_proven, .. }) => {
@@ -721,6 +742,9 @@
         if self.front.fleet.is_service_evacuated(&self.service) {
             return evacuated_refusal();
         }
+        if let Some(retry_after) = self.front.cold_retry(&self.service) {
+            return Refusal::not_run(503, "upstreams_cold").retry_after(retry_after);
+        }
         Refusal::not_run(503, "no_upstream").retry_after(self.unavailable_retry())
     }
 
--- a/crates/front/src/fleet.rs
+++ b/crates/front/src/fleet.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use base::prelude::*;
+use route::cold::{Bounds, Terms, Turns};
 use route::placement::{self, Workload};
 use route::prefix;
 
@@ -56,6 +57,11 @@
     connection_limits: RefCell<HashMap<ServiceId, usize>>,
     /// Rejections per second that an upstream of a brittle service can bear.
     brittle_limits: RefCell<HashMap<ServiceId, usize>>,
+    /// What cold upstreams can handle, by service; others are never cold.
+    cold_terms: RefCell<HashMap<ServiceId, Terms>>,
+    cold_bounds: Cell<Bounds>,
+    /// Times named to callers that were refused for cold upstreams, by service.
+    turns: RefCell<HashMap<ServiceId, Turns>>,
     version: Cell<u64>,
     /// When the list was last known to be complete; `None` while the store does not answer.
     confirmed_at: Cell<Option<Duration>>,
@@ -73,6 +79,9 @@
             services: RefCell::default(),
             connection_limits: RefCell::default(),
             brittle_limits: RefCell::default(),
+            cold_terms: RefCell::default(),
+            cold_bounds: Cell::default(),
+            turns: RefCell::default(),
             version: Cell::new(0),
             confirmed_at: Cell::default(),
             evacuations: Evacuations::default(),
@@ -166,6 +175,43 @@
         *self.connection_limits.borrow_mut() = limits;
     }
 
+    /// Sets the bounds on requests to cold upstreams, which a deployment states.
+    pub fn set_cold_bounds(&self, bounds: Bounds) {
+        self.cold_bounds.set(bounds);
+    }
+
+    /// Returns the bounds on requests to cold upstreams.
+    #[must_use]
+    pub fn cold_bounds(&self) -> Bounds {
+        self.cold_bounds.get()
+    }
+
+    /// Replaces what cold upstreams can handle, by service.
+    pub fn set_cold_terms(&self, terms: HashMap<ServiceId, Terms>) {
+        *self.cold_terms.borrow_mut() = terms;
+    }
+
+    /// Returns what cold upstreams of a service can handle; `None` if they are never cold.
+    #[must_use]
+    pub fn cold_terms(&self, service: &str) -> Option<Terms> {
+        self.cold_terms.borrow().get(service).copied()
+    }
+
+    /// Returns the delay to name to a caller that was refused for cold upstreams.
+    ///
+    /// The arguments are those of [`Turns::next`].
+    pub(crate) fn next_turn(
+        &self,
+        service: &ServiceId,
+        wait: Duration,
+        interval: Duration,
+        warm_in: Duration,
+        now: Duration,
+    ) -> Duration {
+        let mut turns = self.turns.borrow_mut();
+        turns.entry(Arc::clone(service)).or_default().next(wait, interval, warm_in, now)
+    }
+
     /// Applies one change; returns true if it changed the fleet.
     pub fn apply(&self, change: &Change) -> bool {
         !self.apply_all(std::slice::from_ref(change)).is_empty()
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -8,6 +8,7 @@
 //! All of this runs on one thread, because an instance has only a part of one core.
 
 pub mod codec;
+pub mod cold;
 pub mod connect;
 pub mod dispatch;
 pub mod evacuation;
--- a/crates/front/src/roster.rs
+++ b/crates/front/src/roster.rs
@@ -55,6 +55,9 @@
 const STANDBY_COUNT_INTERVAL: Duration = Duration::from_secs(20);
 /// Silence after which the first listed instance removes a row.
 const REMOVE_AFTER: Duration = Duration::from_secs(30);
+/// Time after the first read of the rows in which instances that start together get to know each
+/// other.
+const SETTLE_TIME: Duration = Duration::from_millis(4_040);
 /// Most rows that one transaction removes.
 const MAX_REMOVED_ROWS: usize = 20;
 /// Part of a limit that an upstream states, for all listed instances together.
@@ -169,6 +172,8 @@
     /// Time during which the rows could be read; outages of the store are left out.
     observed_time: Cell<Duration>,
     last_read_at: Cell<Option<Duration>>,
+    /// When this instance knows enough others to use its part of what they share.
+    settled_at: Cell<Option<Duration>>,
     /// Clock of the store when the rows of the next update were read.
     store_time: Cell<Option<Duration>>,
     era: Cell<Option<u64>>,
@@ -200,6 +205,7 @@
             members: RefCell::default(),
             observed_time: Cell::default(),
             last_read_at: Cell::new(None),
+            settled_at: Cell::new(None),
             store_time: Cell::new(None),
             era: Cell::new(None),
             was_restored: Cell::new(false),
@@ -313,6 +319,21 @@
         }
     }
 
+    /// Returns the number of live instances that are not listed, at least 1.
+    #[must_use]
+    pub fn unlisted_count(&self) -> u64 {
+        self.alive_count().saturating_sub(self.listed_count()).max(1)
+    }
+
+    /// Returns true if this instance knows enough others to use its part of what they share.
+    ///
+    /// One that has just started knows none, and of several that start together each would take
+    /// itself for the only one.
+    #[must_use]
+    pub fn is_settled(&self, now: Duration) -> bool {
+        self.settled_at.get().is_some_and(|at| now >= at)
+    }
+
     /// Returns the rank of this instance among the listed ones, which differs for each upstream.
     ///
     /// Instances that are not listed have no rank; callers with old addresses use them.
@@ -430,6 +451,11 @@
         members.retain(|name, _| was_restored || read.contains(name.as_str()));
         drop(members);
         *self.listed.borrow_mut() = self.select_listed();
+        if self.settled_at.get().is_none() {
+            // Rows of a fleet that runs already, or did before all instances were restarted.
+            let is_known = self.listed_count() >= MIN_LISTED as u64;
+            self.settled_at.set(Some(if is_known { now } else { now + SETTLE_TIME }));
+        }
     }
 
     /// Writes this instance's row and reads all rows until the thread ends.
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -8,6 +8,7 @@
 use base::prelude::*;
 use h1::Conn;
 use route::brittle::{Brittle, Load, Rank};
+use route::cold::Cold;
 use route::placement::{Average, Candidate};
 use route::prefix::Hash;
 use route::throttle::Throttle;
@@ -98,6 +99,8 @@
     paused_until: Cell<Duration>,
     throttle: Cell<Throttle>,
     brittle: RefCell<Brittle>,
+    /// What is known of its coldness; unused if upstreams of its service are never cold.
+    pub cold: Cell<Cold>,
     /// Whether an answer of the upstream has stated that it leaves.
     pub has_stated_leaving: Cell<bool>,
     flights: RefCell<SlotMap<FlightKey, InFlight>>,
@@ -134,6 +137,7 @@
             paused_until: Cell::default(),
             throttle: Cell::default(),
             brittle: RefCell::default(),
+            cold: Cell::default(),
             has_stated_leaving: Cell::new(false),
             entry,
             flights: RefCell::default(),
@@ -334,6 +338,40 @@
         self.idle.borrow().iter().any(|idle| idle.is_proven && now < idle.expires_at)
     }
 
+    /// Returns true if an idle connection is open.
+    ///
+    /// Closed ones are removed.
+    #[must_use]
+    pub fn has_open_idle(&self, now: Duration) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        idle.retain_mut(|idle| now < idle.expires_at && idle.conn.is_idle());
+        !idle.is_empty()
+    }
+
+    /// Returns true if all idle connections were closed before their lifetime has ended.
+    ///
+    /// It is false without any. A single one may have been closed for a cause of its own.
+    #[must_use]
+    pub fn has_lost_idle(&self, now: Duration) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        let mut unexpired = idle.iter_mut().filter(|idle| now < idle.expires_at).peekable();
+        unexpired.peek().is_some() && unexpired.all(|idle| !idle.conn.is_idle())
+    }
+
+    /// Counts a request that is sent, in case the upstream is cold.
+    pub fn record_sent(&self, now: Duration) {
+        let mut cold = self.cold.get();
+        cold.record_sent(now);
+        self.cold.set(cold);
+    }
+
+    /// Records that the upstream may get requests again after an evacuation of its domain.
+    pub fn record_return(&self, now: Duration) {
+        let mut cold = self.cold.get();
+        cold.record_return(now);
+        self.cold.set(cold);
+    }
+
     /// Removes an idle connection that is still open from the pool and returns it.
     ///
     /// The flag tells whether it leads certainly to the listed incarnation; `only_proven` leaves
@@ -423,6 +461,7 @@
     is_proven: bool,
     /// Whether the connection is one of this instance.
     is_direct: bool,
+    sent_at: Duration,
 }
 
 impl Flight {
@@ -447,7 +486,7 @@
             is_answered: false,
         };
         let key = upstream.flights.borrow_mut().insert(flight);
-        Self { upstream, key, is_proven, is_direct }
+        Self { upstream, key, is_proven, is_direct, sent_at: now }
     }
 
     /// Returns the upstream that runs the request.
@@ -486,6 +525,9 @@
 
     /// Records that bytes have arrived.
     fn record_heard(&self, now: Duration) {
+        let mut cold = self.upstream.cold.get();
+        cold.record_bytes(self.sent_at, now);
+        self.upstream.cold.set(cold);
         if self.is_direct {
             self.upstream.heard_at.set(now);
         }
--- a/crates/plan/src/routing.rs
+++ b/crates/plan/src/routing.rs
@@ -102,13 +102,19 @@
     }
 }
 
-/// Token count of a service's events, and its connection limit.
-#[derive(Debug, Clone, PartialEq, Eq)]
+/// Token count of a service's events, its connection limit, and what its cold upstreams handle.
+#[derive(Debug, Clone, PartialEq)]
 pub struct Service {
     /// Tokens counted for each event of a stream.
     pub tokens_per_event: Tokens,
     /// Most connections that one upstream accepts from all instances together.
     pub connection_limit: usize,
+    /// Time for which an upstream is cold after its start; zero if it never is.
+    pub cold_start: Duration,
+    /// Requests a second that a cold upstream can handle from all instances together.
+    ///
+    /// 0 means that cold upstreams are treated like warm ones.
+    pub cold_per_s: f64,
 }
 
 /// Priority and prepaid tokens of a client account.
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -3,13 +3,15 @@
 //! There are two ways to choose: [`fleet`] applies a policy of [`balancer`] to polled reports, and
 //! [`placement`] compares expected times. [`poison`] rejects requests that crash upstreams, and
 //! [`retry`] limits retries, [`throttle`] the requests to an upstream that states a limit, and
-//! [`brittle`] those to an upstream that fails when it must turn requests away.
+//! [`brittle`] those to an upstream that fails when it must turn requests away, and [`cold`] those to
+//! one that has just started.
 //! [`origin`] finds the software version at which an interrupted stream may go on, and [`path`]
 //! tells whether the instance reaches the upstreams by connections of its own.
 
 pub mod balancer;
 pub mod brittle;
 pub mod cache;
+pub mod cold;
 pub mod error;
 pub mod fleet;
 pub mod health;
