--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod dispatch;
 pub mod evacuation;
 pub mod fleet;
+pub mod gate;
 pub mod link;
 pub mod listener;
 pub mod metric;
--- a/crates/plan/src/routing.rs
+++ b/crates/plan/src/routing.rs
@@ -102,7 +102,7 @@
     }
 }
 
-/// Token count of a service's events, its connection limit, and what its cold upstreams handle.
+/// Token count of a service's events, its connection limit, and what its upstreams hold and handle.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Service {
     /// Tokens counted for each event of a stream.
@@ -115,6 +115,8 @@
     ///
     /// 0 means that cold upstreams are treated like warm ones.
     pub cold_per_s: f64,
+    /// Tokens that fit into the key-value cache of one upstream; `None` if unknown.
+    pub kv_cache_tokens: Option<Tokens>,
 }
 
 /// Priority and prepaid tokens of a client account.
@@ -223,4 +225,10 @@
         let accounts = self.accounts.iter();
         accounts.map(|(id, account)| (Arc::clone(id), account.prepaid_tokens)).collect()
     }
+    /// Returns the tokens that fit into the key-value cache of an upstream, where known.
+    #[must_use]
+    pub fn memory_limits(&self) -> HashMap<ServiceId, Tokens> {
+        let services = self.services.iter();
+        services.filter_map(|(id, one)| Some((Arc::clone(id), one.kv_cache_tokens?))).collect()
+    }
 }
