--- a/crates/front/src/connect.rs
+++ b/crates/front/src/connect.rs
@@ -382,6 +382,7 @@
         };
         if error.kind() == ErrorKind::ConnectionRefused {
             upstream.record_refusal(now);
+            self.record_loss(upstream, "connect refused");
         }
         // The packets of the connect may wait in the full link of this instance.
         if error.kind() == ErrorKind::TimedOut && self.is_congested() {
