Bound the bytes and descriptors that connections hold

Cause: an instance read every body whole, whoever sent it and whether or not it was needed, and accepted any number of connections. Sixty clients that held bodies of 4 MB took 392 to 421 MB at a machine of 96 MB.

Change: front::memory accounts for the buffers, requests and answers of all callers' connections, with bounds from limits.memory_mb and limits.file_descriptors. Above a bound, those that hold the most and have gone longest without progress give way (503 overfull with Retry-After); requests that run never do. A second account covers the readiness, directory and metrics addresses; the number of tunnels follows from the descriptors. Without the two settings there is no bound on callers. Requests that are refused for their head are answered before their body is read. A body is no longer copied from the input buffer and into each message to an upstream; idle connections keep no buffer. Writes of refusals and of auxiliary answers time out after 5 s. h1 stops to buffer requests sent ahead at 16 KiB instead of 64.

An exit accepts a connection with a ticket although all tunnels are in use, since the ticket's connection already counts; connections without a ticket are limited by a count of their own.

No check has changed.

--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -19,6 +19,7 @@
 use crate::codec::{Metadata, Outbound, Statement};
 use crate::connect::{self, Opened, Verdict};
 use crate::fleet::Selection;
+use crate::memory::Holder;
 use crate::upstream::{Entry, Flight, Upstream};
 use crate::{Front, Params, Refusal};
 
@@ -77,6 +78,8 @@
     pub head: Request,
     /// Whole body of the request.
     pub body: Bytes,
+    /// Account of the bytes that the request holds.
+    pub holder: Rc<Holder>,
     /// Time at which the head of the request had been read.
     pub arrival: Duration,
     /// Time by which the answer must have ended.
@@ -157,6 +160,7 @@
         params: Params,
         head: Request,
         body: Bytes,
+        holder: Rc<Holder>,
         arrival: Duration,
     ) -> Self {
         let request_hash =
@@ -181,6 +185,7 @@
             params,
             head,
             body,
+            holder,
             arrival,
             deadline: arrival + time_limit,
             suspects,
@@ -517,8 +522,9 @@
         Ok(Answer { conn, head, metadata, flight, is_reusable, sent_at, expected_seconds })
     }
 
+    /// Returns the head of the message to an upstream; the body follows it uncopied.
     fn encode_request(&self, upstream: &Upstream, last_event_id: Option<u64>) -> BytesMut {
-        let mut message = BytesMut::with_capacity(1024 + self.body.len());
+        let mut message = BytesMut::with_capacity(1024);
         let rank = self.account.as_ref().and_then(|id| self.routing.accounts.get(id)?.priority);
         let outbound = Outbound {
             head: &self.head,
@@ -531,7 +537,6 @@
             last_event_id,
         };
         self.front.codec.encode_request(&outbound, &mut message);
-        message.extend_from_slice(&self.body);
         message
     }
 
@@ -542,7 +547,7 @@
         conn: &mut Conn,
         message: &[u8],
     ) -> Result<(Response, Metadata, bool), h1::Error> {
-        let (mut head, mut is_whole) = conn.exchange(message, MAX_HEAD_BYTES).await?;
+        let (mut head, mut is_whole) = conn.exchange(message, &self.body, MAX_HEAD_BYTES).await?;
         if self.head.method == "HEAD" {
             // The length is that of the body that a GET would return; none follows.
             head.framing = Framing::Length(0);
@@ -562,7 +567,7 @@
             }
             conn.read_body(head.framing, MAX_STALE_BODY_BYTES, None).await?;
             is_first = false;
-            (head, is_whole) = conn.exchange(&[], MAX_HEAD_BYTES).await?;
+            (head, is_whole) = conn.exchange(&[], &[], MAX_HEAD_BYTES).await?;
         }
         Err(h1::Error::Malformed("the answer belongs to another request"))
     }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -3,7 +3,7 @@
 //! A request passes these steps, each in its own module: [`listener`] reads its head, [`serve`]
 //! reads its body, finds its route and client account and reserves tokens, [`dispatch`] sends it to
 //! an upstream over a connection of [`connect`], [`relay`] returns the answer. [`fleet`] holds the upstreams and [`roster`] the
-//! other instances. [`Codec`] hides the names of a deployment's header fields.
+//! other instances. [`memory`] bounds what connections hold. [`Codec`] hides the names of a deployment's header fields.
 //!
 //! All of this runs on one thread, because an instance has only a part of one core.
 
@@ -13,6 +13,7 @@
 pub mod fleet;
 pub mod link;
 pub mod listener;
+pub mod memory;
 pub mod metric;
 pub mod params;
 pub mod refusal;
--- a/crates/front/src/listener.rs
+++ b/crates/front/src/listener.rs
@@ -11,8 +11,9 @@
 use tokio::time::{sleep, timeout};
 
 use crate::Refusal;
+use crate::memory::{Holder, Registry, Resource};
 use crate::refusal;
-use crate::serve::{Disposition, Front};
+use crate::serve::{CALLER_WRITE_TIMEOUT, Disposition, Front, OVERFULL};
 
 /// Pause after a failed accept, for example for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -35,8 +36,10 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
+                // Without a holder, the connection is closed for lack of descriptors.
+                let Some(holder) = front.memory.insert() else { continue };
                 let front = Rc::clone(&front);
-                ntex::rt::spawn(async move { serve_connection(&front, stream).await });
+                ntex::rt::spawn(async move { serve_connection(&front, stream, holder).await });
             }
             Err(error) => {
                 warn!(front.log, "accept failed"; "error" => %error);
@@ -47,28 +50,37 @@
 }
 
 /// Serves the requests of one connection in sequence.
-async fn serve_connection(front: &Rc<Front>, stream: TcpStream) {
+async fn serve_connection(front: &Rc<Front>, stream: TcpStream, holder: Rc<Holder>) {
     let Ok(mut conn) = Conn::from_stream(stream, front.unacked_timeout) else { return };
+    conn.set_gauge(Some(Rc::clone(&holder) as Rc<dyn h1::Gauge>));
     loop {
+        holder.begin_wait(conn.input.len());
         let limits = front.routing.borrow().limits;
-        let disposition = match read_head(
-            &mut conn,
-            limits.max_head_bytes,
-            limits.idle_timeout,
-            limits.head_timeout,
-        )
-        .await
-        {
-            Ok(Some(head)) => front.serve(&mut conn, head).await,
-            Ok(None) => Disposition::Abort,
-            Err(refusal) => {
+        let read = tokio::select! {
+            biased;
+            resource = holder.wait_evicted() => Err(resource),
+            head = read_head(
+                &mut conn,
+                limits.max_head_bytes,
+                limits.idle_timeout,
+                limits.head_timeout,
+            ) => Ok(head),
+        };
+        let disposition = match read {
+            // The future of a request is large, and is held only while there is one.
+            Ok(Ok(Some(head))) => Box::pin(front.serve(&mut conn, head, &holder)).await,
+            Ok(Ok(None)) => Disposition::Abort,
+            Ok(Err(refusal)) => {
                 info!(front.log, "request head refused"; "code" => refusal.code);
-                let mut out = BytesMut::new();
-                refusal.write(None, false, &mut out);
-                // A failed write means that the caller has closed the connection.
-                drop(conn.write_all(&out).await);
+                refuse_head(&conn, &refusal).await;
                 Disposition::Close
             }
+            // Nothing of a request has arrived.
+            Err(_) if conn.input.is_empty() => Disposition::Abort,
+            Err(resource) => {
+                refuse_head(&conn, &OVERFULL).await;
+                close_evicted(resource)
+            }
         };
         match disposition {
             Disposition::Keep => {}
@@ -78,6 +90,21 @@
     }
 }
 
+/// Returns how a connection that gives way is closed: at once if descriptors are scarce.
+pub(crate) fn close_evicted(resource: Resource) -> Disposition {
+    match resource {
+        Resource::Memory => Disposition::Close,
+        Resource::Descriptors => Disposition::Abort,
+    }
+}
+
+async fn refuse_head(conn: &Conn, refusal: &Refusal) {
+    let mut out = BytesMut::new();
+    refusal.write(None, false, &mut out);
+    // A failed write means that the caller has closed the connection, or does not read.
+    drop(timeout(CALLER_WRITE_TIMEOUT, conn.write_all(&out)).await);
+}
+
 /// Reads the next head. Returns `None` if the caller disconnected or idled too long.
 async fn read_head(
     conn: &mut Conn,
@@ -121,20 +148,36 @@
 
 /// Accepts connections of an auxiliary interface: readiness, addresses or metrics.
 ///
-/// `handler` answers each request.
-pub async fn accept_auxiliary(listener: TcpListener, handler: Rc<dyn Fn(&Request) -> Reply>) {
+/// `handler` answers each request. The account of the connections is `memory`.
+pub async fn accept_auxiliary(
+    listener: TcpListener,
+    memory: Rc<Registry>,
+    handler: Rc<dyn Fn(&Request) -> Reply>,
+) {
     loop {
         if let Ok((stream, _)) = listener.accept().await {
+            let Some(holder) = memory.insert() else { continue };
             let handler = Rc::clone(&handler);
-            ntex::rt::spawn(async move { serve_auxiliary(stream, &*handler).await });
+            ntex::rt::spawn(async move {
+                // A connection that gives way is closed at once.
+                tokio::select! {
+                    _ = holder.wait_evicted() => {}
+                    () = serve_auxiliary(stream, &holder, &*handler) => {}
+                }
+            });
         } else {
             sleep(ACCEPT_RETRY_DELAY).await;
         }
     }
 }
 
-async fn serve_auxiliary(stream: TcpStream, handler: &dyn Fn(&Request) -> Reply) {
+async fn serve_auxiliary(
+    stream: TcpStream,
+    holder: &Rc<Holder>,
+    handler: &dyn Fn(&Request) -> Reply,
+) {
     let Ok(mut conn) = Conn::from_stream(stream, AUXILIARY_TIMEOUT) else { return };
+    conn.set_gauge(Some(Rc::clone(holder) as Rc<dyn h1::Gauge>));
     while let Ok(Some(request)) =
         read_head(&mut conn, MAX_AUXILIARY_HEAD_BYTES, AUXILIARY_TIMEOUT, AUXILIARY_TIMEOUT).await
     {
@@ -149,11 +192,20 @@
             reply.body.len(),
             reply.body
         );
-        if conn.write_all(out.as_bytes()).await.is_err() {
+        holder.begin_answer();
+        holder.release_request(out.capacity());
+        drop(reply);
+        // A client that does not read is cut off.
+        if !matches!(
+            timeout(CALLER_WRITE_TIMEOUT, conn.write_all(out.as_bytes())).await,
+            Ok(Ok(()))
+        ) {
             return;
         }
+        drop(out);
         if !keep_open {
             return conn.close_gracefully().await;
         }
+        holder.begin_wait(conn.input.len());
     }
 }
--- a/crates/front/src/metric.rs
+++ b/crates/front/src/metric.rs
@@ -6,10 +6,13 @@
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 use tunnel::Obstacle;
 
+use crate::memory::Resource;
+
 /// Upper bound of the first bucket of a histogram.
 const FIRST_BUCKET_SECONDS: f64 = 0.002;
 /// Number of buckets; the bound of each is twice the one before.
@@ -40,6 +43,46 @@
     pub result: &'static str,
 }
 
+/// Labels of the gauges of what connections hold.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct HeldLabels {
+    /// `callers` or `auxiliary`.
+    pub address: &'static str,
+}
+
+/// Labels of the counter of connections that gave way.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct EvictionLabels {
+    /// `callers` or `auxiliary`.
+    pub address: &'static str,
+    /// `memory` or `descriptors`.
+    pub resource: &'static str,
+}
+
+/// Handles to the metrics of one account of held bytes.
+#[derive(Debug, Clone)]
+pub struct Held {
+    /// Addresses at which the connections arrive: `callers` or `auxiliary`.
+    pub address: &'static str,
+    bytes: Gauge,
+    descriptors: Gauge,
+    evictions: Family<EvictionLabels, Counter>,
+}
+
+impl Held {
+    /// Sets what the connections hold.
+    pub fn set(&self, bytes: usize, descriptors: usize) {
+        self.bytes.set(i64::try_from(bytes).unwrap_or(i64::MAX));
+        self.descriptors.set(i64::try_from(descriptors).unwrap_or(i64::MAX));
+    }
+
+    /// Counts a connection that gave way.
+    pub fn count_eviction(&self, resource: Resource) {
+        let labels = EvictionLabels { address: self.address, resource: resource.as_str() };
+        self.evictions.get_or_create(&labels).inc();
+    }
+}
+
 /// Registry of the metrics, and handles to update them.
 #[derive(Debug)]
 pub struct Metrics {
@@ -54,6 +97,12 @@
     pub first_byte_seconds: Family<AccountLabels, Histogram>,
     /// Time from arrival to the end of an answer.
     pub whole_answer_seconds: Family<AccountLabels, Histogram>,
+    /// Bytes that connections hold.
+    held_bytes: Family<HeldLabels, Gauge>,
+    /// Descriptors that connections hold.
+    held_descriptors: Family<HeldLabels, Gauge>,
+    /// Connections that gave way.
+    evictions: Family<EvictionLabels, Counter>,
     /// Calls and bytes on the links to other instances.
     pub peer: watch::peer::Counters,
     /// Calls to the store and their bytes.
@@ -85,6 +134,16 @@
             "Time from arrival to the end of an answer",
             whole_answer_seconds.clone(),
         );
+        let held_bytes = Family::default();
+        let held_descriptors = Family::default();
+        let evictions = Family::default();
+        registry.register("held_bytes", "Bytes that connections hold", held_bytes.clone());
+        registry.register(
+            "held_descriptors",
+            "Descriptors of connections and of their requests at upstreams",
+            held_descriptors.clone(),
+        );
+        registry.register("evictions", "Connections that gave way", evictions.clone());
         let peer = watch::peer::Counters::default();
         peer.register(&mut registry);
         let store = watch::store::Counters::default();
@@ -96,6 +155,9 @@
             tunnels,
             first_byte_seconds,
             whole_answer_seconds,
+            held_bytes,
+            held_descriptors,
+            evictions,
             peer,
             store,
         }
@@ -109,6 +171,18 @@
         self.requests.get_or_create(&labels).inc();
     }
 
+    /// Returns the handles for the connections at `address`: `callers` or `auxiliary`.
+    #[must_use]
+    pub fn held(&self, address: &'static str) -> Held {
+        let labels = HeldLabels { address };
+        Held {
+            address,
+            bytes: self.held_bytes.get_or_create(&labels).clone(),
+            descriptors: self.held_descriptors.get_or_create(&labels).clone(),
+            evictions: self.evictions.clone(),
+        }
+    }
+
     /// Counts a connect to an upstream of a service.
     pub fn count_connect<T>(&self, service: &str, connected: &std::io::Result<T>) {
         let result = match connected {
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -11,6 +11,7 @@
 
 use crate::dispatch::{Answer, Call};
 use crate::metric::Metrics;
+use crate::serve::CALLER_WRITE_TIMEOUT;
 use crate::sse::{Decoder, Event};
 use crate::{Refusal, refusal};
 
@@ -18,8 +19,8 @@
 const MAX_ANSWER_BYTES: usize = 2 << 20;
 /// Buffered bytes without a complete event at which a stream fails.
 const MAX_EVENT_BYTES: usize = 256 << 10;
-/// Longest time for a write to a caller that does not read.
-const CALLER_WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Largest body of an answer that is copied behind its head to be sent in one write.
+const MAX_COPIED_BYTES: usize = 16 << 10;
 /// Events that are billed after the last relayed one if an answer is interrupted.
 ///
 /// The upstream may have sent them before the connection failed.
@@ -60,6 +61,8 @@
     Upstream(h1::Error),
     /// The connection hangs, since this instance has lost its path to the upstream.
     PathLost,
+    /// The connection to the caller has to give way, since the instance holds too much.
+    Overfull,
     Deadline,
     CallerGone,
 }
@@ -125,7 +128,11 @@
                 let refusal = Refusal::unknown(504, "deadline_exceeded");
                 return write_refusal(call, conn, &refusal, keep_open).await;
             }
+            Err(Interruption::Overfull) => {
+                return write_refusal(call, conn, &Refusal::unknown(502, "overfull"), false).await;
+            }
             Err(interruption) => {
+                call.holder.resume_run();
                 call.may_have_run = true;
                 if let Interruption::Upstream(error) = &interruption {
                     call.detect_crash(&upstream, error, false).await;
@@ -149,14 +156,18 @@
     answer: Answer,
 ) -> Result<(Response, Bytes), Interruption> {
     let Answer { conn: mut upstream, head, metadata, flight, is_reusable, .. } = answer;
+    call.holder.begin_answer();
+    upstream.set_gauge(Some(call.holder.answer_gauge()));
     let body = tokio::select! {
         biased;
+        _ = call.holder.wait_evicted() => return Err(Interruption::Overfull),
         body = upstream.read_body(head.framing, MAX_ANSWER_BYTES, None) =>
             body.map_err(Interruption::Upstream)?,
         () = conn.wait_closed() => return Err(Interruption::CallerGone),
         () = flight.wait_cut_off(), if call.can_go_on() => return Err(Interruption::PathLost),
         () = sleep(call.time_left() + DEADLINE_GRACE) => return Err(Interruption::Deadline),
     };
+    upstream.set_gauge(None);
     if is_reusable {
         flight.release(upstream, metadata.keep_alive, call.front.clock.now());
     }
@@ -170,7 +181,10 @@
     body: &Bytes,
     keep_open: bool,
 ) -> Delivery {
-    let mut out = BytesMut::with_capacity(512 + body.len());
+    call.body = Bytes::new();
+    call.holder.release_request(body.len());
+    let is_copied = body.len() <= MAX_COPIED_BYTES;
+    let mut out = BytesMut::with_capacity(512 + if is_copied { body.len() } else { 0 });
     write_head(head.status, &head.fields, &mut out);
     let body_len = body.len().to_string();
     let is_head_request = call.head.method == "HEAD";
@@ -178,12 +192,24 @@
     let length = stated_length.unwrap_or(&body_len);
     out.extend_from_slice(format!("Content-Length: {length}\r\n").as_bytes());
     write_head_end(keep_open, &mut out);
-    out.extend_from_slice(body);
+    if is_copied {
+        out.extend_from_slice(body);
+    }
     // A failed run costs only the prompt, which the upstream may have processed.
     let used = if head.status < 400 { call.params.bound() } else { prompt_tokens(&call) };
     settle(&mut call, used);
     record_end(&call, head.status, 0, "whole");
-    write_last(conn, &out).await
+    let write = async {
+        match write_last(conn, &out).await {
+            Delivery::Complete if !is_copied => write_last(conn, body).await,
+            delivery => delivery,
+        }
+    };
+    tokio::select! {
+        biased;
+        _ = call.holder.wait_evicted() => Delivery::CallerGone,
+        delivery = write => delivery,
+    }
 }
 
 async fn write_refusal(
@@ -330,7 +356,7 @@
                         "upstream" => self.answer.flight.upstream().entry.id.as_ref(),
                         "last_event" => self.last_event_id);
                 }
-                Err(Interruption::PathLost) => {
+                Err(Interruption::PathLost | Interruption::Overfull) => {
                     info!(self.call.front.log, "stream hangs";
                         "request" => self.call.params.request_id.as_ref(),
                         "upstream" => self.answer.flight.upstream().entry.id.as_ref(),
@@ -476,6 +502,7 @@
         out.extend_from_slice(&chunk);
         out.extend_from_slice(b"\r\n");
         self.delivered_events += count;
+        self.call.holder.record_stream(out.capacity() + self.decoder.pending_bytes());
         // The caller no longer waits after its deadline.
         let time_left = self.call.time_left() + DEADLINE_GRACE;
         match timeout(CALLER_WRITE_TIMEOUT.min(time_left), conn.write_all(&out)).await {
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use base::prelude::*;
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use h1::{Body, Conn, Request};
 use ledger::escrow::{Escrow, Fault, Reservation};
 use plan::routing::{Route, Table};
@@ -14,10 +14,13 @@
 use route::poison::suspect::Suspects;
 use route::retry::{Limiter, Limits};
 use slog::{Logger, info};
+use tokio::time::timeout;
 
 use crate::connect::Tunnels;
 use crate::dispatch::Call;
 use crate::link::Queue;
+use crate::listener::close_evicted;
+use crate::memory::{Holder, Registry};
 use crate::metric::Metrics;
 use crate::relay::{self, Delivery};
 use crate::roster::Roster;
@@ -33,6 +36,13 @@
 const STOPPING_RETRY: Duration = Duration::from_millis(100);
 /// Shortest retry delay while the link of this instance is saturated.
 const LINK_RETRY: Duration = Duration::from_millis(500);
+/// Longest time for a write to a caller that does not read.
+pub const CALLER_WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Bytes of a request besides its head and body while it runs.
+const REQUEST_OVERHEAD_BYTES: usize = 8 << 10;
+/// Refusal of a request whose connection has to give way.
+pub(crate) const OVERFULL: Refusal =
+    Refusal::not_run(503, "overfull").retry_after(Duration::from_secs(1));
 /// Longest wait for a reservation of tokens.
 const RESERVE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Longest wait for the next bytes of a request's body.
@@ -73,6 +83,8 @@
     pub log: Logger,
     /// Metrics of requests, rendered by an auxiliary interface.
     pub metrics: Metrics,
+    /// Account of the bytes and descriptors that callers hold.
+    pub memory: Rc<Registry>,
     /// Number of requests whose head has been read and whose answer has not ended.
     pub in_flight_requests: Cell<usize>,
     /// Time at which the stop began; `None` while no stop is planned.
@@ -119,27 +131,49 @@
     }
 
     /// Serves one request whose head has been read.
-    pub async fn serve(self: &Rc<Self>, conn: &mut Conn, head: Request) -> Disposition {
+    ///
+    /// A request that can be decided from its head is answered before its body is read.
+    pub async fn serve(
+        self: &Rc<Self>,
+        conn: &mut Conn,
+        head: Request,
+        holder: &Rc<Holder>,
+    ) -> Disposition {
         let _in_flight = self.track_request();
         self.roster.count_request();
         let arrival = self.clock.now();
         let table = Rc::clone(&self.routing.borrow());
-        let body = match self.read_body(conn, &head, &table).await {
-            Ok(body) => body,
-            Err(Some(refusal)) => {
-                self.refuse(conn, &head, None, &refusal, arrival, false).await;
-                return Disposition::Close;
-            }
-            Err(None) => return Disposition::Abort,
-        };
         let params = match self.codec.decode_request(&head) {
             Ok(params) => params,
             Err(reason) => {
                 info!(self.log, "request malformed"; "reason" => reason);
                 let refusal = Refusal::not_run(400, "malformed");
-                return self.refuse(conn, &head, None, &refusal, arrival, true).await;
+                let may_keep = skip_body(conn, &head);
+                return self.refuse(conn, &head, None, &refusal, arrival, may_keep).await;
             }
         };
+        if let Err(refusal) = self.check_head(&table, &head, &params) {
+            let may_keep = refusal.retry_after.is_none() && skip_body(conn, &head);
+            return self.refuse(conn, &head, Some(&params), &refusal, arrival, may_keep).await;
+        }
+        let read = tokio::select! {
+            biased;
+            resource = holder.wait_evicted() => Err(resource),
+            body = self.read_body(conn, &head, &table) => Ok(body),
+        };
+        let body = match read {
+            Ok(Ok(body)) => body,
+            Ok(Err(Some(refusal))) => {
+                self.refuse(conn, &head, Some(&params), &refusal, arrival, false).await;
+                return Disposition::Close;
+            }
+            Ok(Err(None)) => return Disposition::Abort,
+            Err(resource) => {
+                self.refuse(conn, &head, Some(&params), &OVERFULL, arrival, false).await;
+                return close_evicted(resource);
+            }
+        };
+        holder.begin_run(body.len() + REQUEST_OVERHEAD_BYTES, conn.input.capacity());
         let admitted = tokio::select! {
             biased;
             admitted = self.admit(&table, &head, &params, body.len(), arrival) => admitted,
@@ -158,7 +192,9 @@
             }
         };
         let keep_open = self.may_keep_connection(&head);
-        let call = Call::open(self, table, route, account, reserved, params, head, body, arrival);
+        let holder = Rc::clone(holder);
+        let call =
+            Call::open(self, table, route, account, reserved, params, head, body, holder, arrival);
         let delivery = relay::deliver(call, conn, keep_open).await;
         match delivery {
             Delivery::Complete if keep_open => Disposition::Keep,
@@ -194,14 +230,13 @@
         })
     }
 
-    async fn admit(
+    /// Checks what is known before the body; returns the route and the client account.
+    fn check_head(
         &self,
         table: &Table,
         head: &Request,
         params: &Params,
-        body_len: usize,
-        arrival: Duration,
-    ) -> Result<(Arc<Route>, Option<AccountId>, Option<Reservation>), Refusal> {
+    ) -> Result<(Arc<Route>, Option<AccountId>), Refusal> {
         if table.version == 0 {
             return Err(Refusal::not_run(503, "not_configured").retry_after(STARTING_RETRY));
         }
@@ -215,10 +250,21 @@
         if needs_key && key_account.is_none() {
             return Err(Refusal::not_run(401, "unknown_key"));
         }
-        let account = key_account.map(Arc::clone);
+        Ok((Arc::clone(route), key_account.map(Arc::clone)))
+    }
+
+    async fn admit(
+        &self,
+        table: &Table,
+        head: &Request,
+        params: &Params,
+        body_len: usize,
+        arrival: Duration,
+    ) -> Result<(Arc<Route>, Option<AccountId>, Option<Reservation>), Refusal> {
+        let (route, account) = self.check_head(table, head, params)?;
         self.link_queue
             .borrow_mut()
-            .admit(route, body_len, arrival)
+            .admit(&route, body_len, arrival)
             .map_err(|wait| Refusal::not_run(503, "link_busy").retry_after(wait.max(LINK_RETRY)))?;
         let reserved = match &account {
             Some(account) if params.bound() > 0 => {
@@ -228,7 +274,7 @@
             }
             _ => None,
         };
-        Ok((Arc::clone(route), account, reserved))
+        Ok((route, account, reserved))
     }
 
     async fn reserve(
@@ -290,10 +336,17 @@
             "outcome" => %refusal.outcome, "config" => self.routing.borrow().version,
             "after_ms" => base::clock::millis(elapsed));
         self.metrics.count_request("", refusal.code);
-        match conn.write_all(&out).await {
-            Ok(()) if keep_open => Disposition::Keep,
-            Ok(()) => Disposition::Close,
-            Err(_) => Disposition::Abort,
+        match timeout(CALLER_WRITE_TIMEOUT, conn.write_all(&out)).await {
+            Ok(Ok(())) if keep_open => Disposition::Keep,
+            Ok(Ok(())) => Disposition::Close,
+            Ok(Err(_)) | Err(_) => Disposition::Abort,
         }
     }
 }
+
+/// Skips a body that has already arrived; false if the connection must be closed instead.
+fn skip_body(conn: &mut Conn, head: &Request) -> bool {
+    let h1::Framing::Length(length) = head.framing else { return false };
+    let arrived = usize::try_from(length).ok().filter(|length| *length <= conn.input.len());
+    arrived.inspect(|length| conn.input.advance(*length)).is_some()
+}
--- a/crates/h1/src/conn.rs
+++ b/crates/h1/src/conn.rs
@@ -1,10 +1,12 @@
 //! A TCP connection with its input buffer.
 
-use std::io;
+use std::fmt;
+use std::io::{self, IoSlice};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
 use rustix::net::sockopt;
 use tokio::io::Interest;
 use tokio::net::TcpStream;
@@ -16,7 +18,22 @@
 /// Free space of the input buffer before each read; fits a typical head or event.
 const READ_RESERVE_BYTES: usize = 8 << 10;
 /// Most buffered bytes of a peer that sends while none are expected.
-const MAX_UNEXPECTED_BYTES: usize = 64 << 10;
+///
+/// It bounds what a caller that sends requests ahead makes an instance hold for each connection.
+const MAX_UNEXPECTED_BYTES: usize = 16 << 10;
+/// First size of the buffer of a body; it then grows with the bytes that arrive.
+///
+/// A peer that states a large body and sends nothing makes the receiver hold no more than this.
+const FIRST_BODY_CAPACITY: usize = 16 << 10;
+/// Factor by which the buffer of a body grows.
+const BODY_GROWTH: usize = 4;
+/// Size of a body's buffer after which it grows to its full size at once.
+///
+/// Large buffers of many sizes, each freed after the next growth, more than double the resident
+/// memory: 127 MB for 52 MB of bodies.
+const MAX_STEP_CAPACITY: usize = 256 << 10;
+/// Unused bytes of a whole body's buffer above which the buffer is shrunk.
+const MAX_UNUSED_BYTES: usize = 64 << 10;
 
 /// Bytes of a peer that sends without a pause after which other tasks have their turn.
 const MAX_UNPAUSED_BYTES: usize = 64 << 10;
@@ -27,6 +44,14 @@
 /// Most bytes that [`Conn::close_gracefully`] reads and discards.
 const MAX_LINGER_BYTES: usize = 8 << 20;
 
+/// Observer of the bytes that a connection holds.
+pub trait Gauge: fmt::Debug {
+    /// Records the size of the connection's buffers in bytes; called after each read.
+    ///
+    /// `received` is the number of bytes that the read has added.
+    fn record(&self, held: usize, received: usize);
+}
+
 /// A TCP connection and the bytes that were read from it.
 #[derive(Debug)]
 pub struct Conn {
@@ -37,6 +62,10 @@
     unpaused_bytes: usize,
     /// Decoder of the input; `None` if the peer sends it without frames.
     frames: Option<frame::Decoder>,
+    /// Size of the buffer of the body that is being read.
+    body_capacity: usize,
+    /// Observer of the held bytes; `None` if nobody accounts for them.
+    gauge: Option<Rc<dyn Gauge>>,
 }
 
 impl Conn {
@@ -51,7 +80,14 @@
         stream.set_nodelay(true)?;
         let user_timeout = u32::try_from(user_timeout.as_millis()).unwrap_or(u32::MAX);
         sockopt::set_tcp_user_timeout(&stream, user_timeout)?;
-        Ok(Self { stream, input: BytesMut::new(), unpaused_bytes: 0, frames: None })
+        Ok(Self {
+            stream,
+            input: BytesMut::new(),
+            unpaused_bytes: 0,
+            frames: None,
+            body_capacity: 0,
+            gauge: None,
+        })
     }
 
     /// Connects to an address; see [`Self::from_stream`] for `user_timeout`.
@@ -77,6 +113,11 @@
         self
     }
 
+    /// Sets the observer of the held bytes; `None` removes it.
+    pub fn set_gauge(&mut self, gauge: Option<Rc<dyn Gauge>>) {
+        self.gauge = gauge;
+    }
+
     /// Returns the socket; bytes that were read and not decoded are lost.
     #[must_use]
     pub fn into_stream(self) -> TcpStream {
@@ -92,16 +133,32 @@
         if self.frames.as_ref().is_some_and(frame::Decoder::has_ended) {
             return Ok(0);
         }
+        if self.input.is_empty() {
+            // An idle connection keeps no buffer.
+            self.input = BytesMut::new();
+        }
+        self.read_with(Self::try_read).await
+    }
+
+    /// Waits until `read` gets bytes from the socket, and records them.
+    async fn read_with(
+        &mut self,
+        mut read: impl FnMut(&mut Self) -> io::Result<usize>,
+    ) -> io::Result<usize> {
         if self.unpaused_bytes >= MAX_UNPAUSED_BYTES {
             self.unpaused_bytes = 0;
             tokio::task::yield_now().await;
         }
         loop {
             self.stream.readable().await?;
-            match self.try_read() {
+            match read(self) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.unpaused_bytes = 0,
                 result => {
-                    self.unpaused_bytes += result.as_ref().copied().unwrap_or_default();
+                    let count = result.as_ref().copied().unwrap_or_default();
+                    self.unpaused_bytes += count;
+                    if let Some(gauge) = self.gauge.as_ref().filter(|_| count > 0) {
+                        gauge.record(self.input.capacity() + self.body_capacity, count);
+                    }
                     return result;
                 }
             }
@@ -148,16 +205,79 @@
         framing: Framing,
         max_bytes: usize,
         idle_timeout: Option<Duration>,
+    ) -> Result<Bytes, Error> {
+        let result = match framing {
+            Framing::Length(length) if self.frames.is_none() => {
+                self.read_sized_body(length, max_bytes, idle_timeout).await
+            }
+            _ => self.read_decoded_body(framing, max_bytes, idle_timeout).await,
+        };
+        self.body_capacity = 0;
+        result
+    }
+
+    /// Reads a body of known length; a large one bypasses the input buffer.
+    async fn read_sized_body(
+        &mut self,
+        length: u64,
+        max_bytes: usize,
+        idle_timeout: Option<Duration>,
+    ) -> Result<Bytes, Error> {
+        let length = usize::try_from(length).ok().filter(|length| *length <= max_bytes);
+        let length = length.ok_or(Error::BodyTooLarge(max_bytes))?;
+        let mut bytes = Vec::new();
+        while bytes.len() < length {
+            let left = length - bytes.len();
+            self.body_capacity = grow(&mut bytes, 1, length);
+            let free = (bytes.capacity() - bytes.len()).min(left);
+            if !self.input.is_empty() {
+                bytes.extend_from_slice(&self.input.split_to(free.min(self.input.len())));
+                continue;
+            }
+            let size = free.min(MAX_UNPAUSED_BYTES);
+            let read = async {
+                // One read of a small rest also brings the next message.
+                if left <= READ_RESERVE_BYTES {
+                    return self.fill_input().await;
+                }
+                self.read_with(|conn| conn.stream.try_read_buf(&mut (&mut bytes).limit(size))).await
+            };
+            let count = match idle_timeout {
+                Some(limit) => tokio::time::timeout(limit, read)
+                    .await
+                    .map_err(|_elapsed| Error::IdleTimeout)??,
+                None => read.await?,
+            };
+            if count == 0 {
+                return Err(Error::UnexpectedEof);
+            }
+        }
+        Ok(bytes.into())
+    }
+
+    async fn read_decoded_body(
+        &mut self,
+        framing: Framing,
+        max_bytes: usize,
+        idle_timeout: Option<Duration>,
     ) -> Result<Bytes, Error> {
         let mut body = Body::open(framing);
-        let mut bytes = BytesMut::new();
+        let mut bytes = Vec::new();
         loop {
             match body.decode(&mut self.input)? {
                 Some(part) if bytes.len() + part.len() > max_bytes => {
                     return Err(Error::BodyTooLarge(max_bytes));
                 }
-                Some(part) => bytes.extend_from_slice(&part),
-                None if body.is_done() => return Ok(bytes.freeze()),
+                Some(part) => {
+                    self.body_capacity = grow(&mut bytes, part.len(), max_bytes);
+                    bytes.extend_from_slice(&part);
+                }
+                None if body.is_done() => {
+                    if bytes.capacity() - bytes.len() > MAX_UNUSED_BYTES {
+                        bytes.shrink_to_fit();
+                    }
+                    return Ok(bytes.into());
+                }
                 None => match idle_timeout {
                     Some(limit) => tokio::time::timeout(limit, self.fill_body(&mut body))
                         .await
@@ -170,7 +290,7 @@
 
     /// Waits until the peer closes or resets the connection, and buffers its input meanwhile.
     ///
-    /// Never returns once 64 KiB are buffered, since a close is then no longer detected.
+    /// Never returns once 16 KiB are buffered, since a close is then no longer detected.
     pub async fn wait_closed(&mut self) {
         while self.input.len() < MAX_UNEXPECTED_BYTES {
             if !matches!(self.fill_input().await, Ok(count) if count > 0) {
@@ -229,6 +349,8 @@
 
     /// Writes a request and concurrently reads the head of its response.
     ///
+    /// `body` follows `head`; they are separate so that the body need not be copied.
+    ///
     /// The flag is false if the response began before the whole request was written; such a
     /// connection must not be reused. Interim responses are skipped.
     ///
@@ -237,23 +359,25 @@
     /// Returns an error if the connection closes or fails, or the response is malformed.
     pub async fn exchange(
         &mut self,
-        mut request: &[u8],
+        mut head: &[u8],
+        mut body: &[u8],
         max_head_bytes: usize,
     ) -> Result<(Response, bool), Error> {
         let mut is_write_broken = false;
         let mut interim_responses = 0;
         loop {
-            if let Some(head) = Response::decode(&mut self.input, max_head_bytes)? {
-                if head.is_interim() {
+            let is_written = head.is_empty() && body.is_empty();
+            if let Some(response) = Response::decode(&mut self.input, max_head_bytes)? {
+                if response.is_interim() {
                     interim_responses += 1;
                     if interim_responses > MAX_INTERIM_RESPONSES {
                         return Err(Error::Malformed("too many interim responses"));
                     }
                     continue;
                 }
-                return Ok((head, request.is_empty()));
+                return Ok((response, is_written));
             }
-            let interest = if request.is_empty() || is_write_broken {
+            let interest = if is_written || is_write_broken {
                 Interest::READABLE
             } else {
                 Interest::READABLE | Interest::WRITABLE
@@ -268,9 +392,14 @@
                     Ok(_) | Err(_) => {}
                 }
             }
-            if ready.is_writable() && !request.is_empty() && !is_write_broken {
-                match self.stream.try_write(request) {
-                    Ok(count) => request.advance(count),
+            if ready.is_writable() && !is_written && !is_write_broken {
+                let parts = [IoSlice::new(head), IoSlice::new(body)];
+                match self.stream.try_write_vectored(&parts) {
+                    Ok(count) => {
+                        let head_count = count.min(head.len());
+                        head.advance(head_count);
+                        body.advance(count - head_count);
+                    }
                     Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                     // The response may have arrived before the write failed, so reading continues.
                     Err(_) => is_write_broken = true,
@@ -279,3 +408,14 @@
         }
     }
 }
+
+/// Makes room for `added` bytes in the buffer of a body of at most `max_bytes`; returns its size.
+fn grow(bytes: &mut Vec<u8>, added: usize, max_bytes: usize) -> usize {
+    let needed = bytes.len() + added;
+    if needed > bytes.capacity() {
+        let next = (bytes.capacity() * BODY_GROWTH).max(FIRST_BODY_CAPACITY);
+        let next = if next > MAX_STEP_CAPACITY { max_bytes } else { next };
+        bytes.reserve_exact(next.max(needed).min(max_bytes) - bytes.len());
+    }
+    bytes.capacity()
+}
--- a/crates/h1/src/lib.rs
+++ b/crates/h1/src/lib.rs
@@ -11,6 +11,6 @@
 pub mod head;
 
 pub use crate::body::Body;
-pub use crate::conn::Conn;
+pub use crate::conn::{Conn, Gauge};
 pub use crate::error::Error;
 pub use crate::head::{Fields, Framing, Request, Response};
--- a/crates/tunnel/src/exit.rs
+++ b/crates/tunnel/src/exit.rs
@@ -15,8 +15,6 @@
 use tokio::time::{sleep, timeout};
 use wire::message::Ticket;
 
-/// Most connections that are held or carried at once.
-const MAX_TUNNELS: usize = 256;
 /// Time for which a connection is held until its ticket arrives.
 const TICKET_LIFETIME: Duration = Duration::from_secs(1);
 /// Most bytes of one frame.
@@ -31,21 +29,33 @@
 pub struct Exit {
     held: RefCell<HashMap<Ticket, TcpStream>>,
     carried: Cell<usize>,
+    /// Accepted connections whose ticket has not arrived.
+    waiting: Cell<usize>,
+    /// Most connections that are held or carried at once, and most that wait for their ticket.
+    max_tunnels: usize,
     unacked_timeout: Duration,
 }
 
-/// Guard that counts a tunnel until the guard is dropped.
-struct Carried<'a>(&'a Exit);
+/// Guard that adds one to a count until the guard is dropped.
+struct Counted<'a>(&'a Cell<usize>);
 
-impl Drop for Carried<'_> {
+impl<'a> Counted<'a> {
+    fn open(count: &'a Cell<usize>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
+    }
+}
+
+impl Drop for Counted<'_> {
     fn drop(&mut self) {
-        self.0.carried.set(self.0.carried.get() - 1);
+        self.0.set(self.0.get() - 1);
     }
 }
 
 impl Exit {
     /// Accepts tunnels on a listening socket until the thread ends.
     ///
+    /// At most `max_tunnels` connections are held or carried, two descriptors each.
     /// Sent bytes that stay unacknowledged for `unacked_timeout` end a tunnel.
     ///
     /// # Errors
@@ -53,12 +63,18 @@
     /// Returns an error if the socket cannot be switched to nonblocking operation.
     pub fn spawn(
         listener: std::net::TcpListener,
+        max_tunnels: usize,
         unacked_timeout: Duration,
     ) -> io::Result<Rc<Self>> {
         listener.set_nonblocking(true)?;
         let listener = TcpListener::from_std(listener)?;
-        let exit =
-            Rc::new(Self { held: RefCell::default(), carried: Cell::new(0), unacked_timeout });
+        let exit = Rc::new(Self {
+            held: RefCell::default(),
+            carried: Cell::new(0),
+            waiting: Cell::new(0),
+            max_tunnels,
+            unacked_timeout,
+        });
         ntex::rt::spawn(Rc::clone(&exit).accept(listener));
         Ok(exit)
     }
@@ -66,7 +82,7 @@
     /// Returns true if no further connection can be held.
     #[must_use]
     pub fn is_full(&self) -> bool {
-        self.held.borrow().len() + self.carried.get() >= MAX_TUNNELS
+        self.held.borrow().len() + self.carried.get() >= self.max_tunnels
     }
 
     /// Returns how many tunnels are open; each carries one request.
@@ -93,7 +109,7 @@
                 sleep(ACCEPT_RETRY_DELAY).await;
                 continue;
             };
-            if self.is_full() {
+            if self.waiting.get() >= self.max_tunnels {
                 continue;
             }
             let exit = Rc::clone(&self);
@@ -105,12 +121,13 @@
         let Ok(conn) = Conn::from_stream(stream, self.unacked_timeout) else { return };
         let mut stream = conn.into_stream();
         let mut ticket = Ticket::default();
+        let waiting = Counted::open(&self.waiting);
         if !matches!(timeout(TICKET_LIFETIME, stream.read_exact(&mut ticket)).await, Ok(Ok(_))) {
             return;
         }
+        drop(waiting);
         let Some(upstream) = self.held.borrow_mut().remove(&ticket) else { return };
-        self.carried.set(self.carried.get() + 1);
-        let _carried = Carried(self);
+        let _carried = Counted::open(&self.carried);
         carry(upstream, stream).await;
     }
 }
--- a/crates/tunnel/tests/tunnels.rs
+++ b/crates/tunnel/tests/tunnels.rs
@@ -34,7 +34,7 @@
 fn open_exit() -> (Rc<Exit>, SocketAddr) {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
     let address = listener.local_addr().expect("bound");
-    (Exit::spawn(listener, TIMEOUT).expect("a listening socket"), address)
+    (Exit::spawn(listener, 256, TIMEOUT).expect("a listening socket"), address)
 }
 
 /// Returns both ends of a connection.
