--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -9,6 +9,7 @@
 use h1::{Conn, Framing, Request, Response};
 use ledger::escrow::Reservation;
 use plan::routing::{Kind, Route, Table};
+use route::cost::Report;
 use route::path::State;
 use route::poison::suspect::{self, Admission, Crash, Suspect};
 use route::prefix;
@@ -35,6 +36,8 @@
 const ORIGIN_TIMEOUT: Duration = Duration::from_millis(700);
 /// Retry delay when no upstream could run the request.
 const UNAVAILABLE_RETRY: Duration = Duration::from_millis(400);
+/// Retry delay while all upstreams of a service are in evacuated domains, which lasts for minutes.
+const EVACUATED_RETRY: Duration = Duration::from_secs(2);
 /// Part of the time left for which an attempt waits if another attempt may follow.
 const ATTEMPT_TIME_RATIO: f64 = 0.45;
 /// Lowest status that counts as a failure of the upstream.
@@ -74,6 +77,8 @@
     pub reserved: Option<Reservation>,
     /// Parameters decoded from the request's head.
     pub params: Params,
+    /// Expected tokens of the output; 0 for plain requests.
+    pub output_tokens: Tokens,
     /// Head as the caller sent it.
     pub head: Request,
     /// Whole body of the request.
@@ -95,6 +100,10 @@
     first_sent_at: Option<Duration>,
     /// Time of the last attempt; zero before the first one.
     last_sent_at: Duration,
+    /// Upstream to which the request was sent last; `None` before the first attempt.
+    pub last_selection: Option<Selection>,
+    /// Time at which the first event or the answer's head arrived; `None` before it.
+    pub answered_at: Option<Duration>,
     /// Number of attempts that sent the request to an upstream.
     pub sent_count: usize,
     /// Whether an upstream may have run the request in an attempt that failed.
@@ -127,6 +136,9 @@
     /// No connection could be opened, or the upstream is leaving; nothing was sent.
     #[error("no connection: {0}")]
     Connect(std::io::Error),
+    /// The operator has evacuated the domain of the upstream; nothing was sent.
+    #[error("evacuated")]
+    Evacuated,
     /// Neither this instance nor any that was asked has a path to the service; nothing was sent.
     #[error("no path")]
     NoPath,
@@ -174,6 +186,7 @@
         );
         let mut suspects = vec![request_id];
         suspects.extend(params.shared_part_ids(&service));
+        let output_tokens = front.fleet.expected_output(&route.name, account.as_ref(), &params);
         let time_limit = params.timeout.map_or(route.timeout, |time| time.min(route.timeout));
         Self {
             front: Rc::clone(front),
@@ -183,6 +196,7 @@
             account,
             reserved,
             params,
+            output_tokens,
             head,
             body,
             holder,
@@ -194,6 +208,8 @@
             tried_upstreams: Vec::new(),
             first_sent_at: None,
             last_sent_at: Duration::ZERO,
+            last_selection: None,
+            answered_at: None,
             sent_count: 0,
             may_have_run: false,
         }
@@ -219,6 +235,9 @@
     ///
     /// Returns the refusal for the caller if no upstream begins an answer.
     pub async fn send(&mut self, last_event_id: Option<u64>) -> Result<Answer, Refusal> {
+        if self.front.fleet.is_service_evacuated(&self.service) {
+            return Err(self.unavailable_refusal());
+        }
         match self.front.suspects.admit(&self.suspects).await {
             Admission::Granted => {}
             Admission::Trial => self.is_trial = true,
@@ -275,6 +294,9 @@
             if matches!(failure, Failure::NoPath) {
                 return Err(self.no_path_refusal());
             }
+            if matches!(failure, Failure::Evacuated) {
+                continue;
+            }
             if matches!(failure, Failure::Connect(_) | Failure::Unproven) {
                 failed_connects += 1;
                 if failed_connects >= MAX_CONNECT_FAILURES {
@@ -309,7 +331,8 @@
         };
         let select = |admits: &dyn Fn(&Upstream) -> bool| {
             let admits = |upstream: &Upstream| admits(upstream) && has_room(upstream);
-            front.fleet.select(&self.service, &self.params, &self.tried_upstreams, admits, now)
+            let (output, tried) = (self.output_tokens, &self.tried_upstreams);
+            front.fleet.select(&self.service, &self.params, output, tried, admits, now)
         };
         let is_announced =
             |entry: &Entry| front.origins.is_announced(&entry.service, &entry.version);
@@ -470,19 +493,18 @@
         if upstream.leaving.get() {
             return Err(Failure::Connect(ErrorKind::NotConnected.into()));
         }
+        // The row may have been read while the connection was opened.
+        if front.fleet.is_evacuated(upstream) {
+            return Err(Failure::Evacuated);
+        }
         if let Some(reserved) = &mut self.reserved {
             reserved.mark_started();
         }
         self.sent_count += 1;
+        self.last_selection = Some(selection.clone());
         let sent_at = front.clock.now();
-        let flight = Flight::open(
-            Rc::clone(upstream),
-            &self.params,
-            selection.cached_tokens,
-            is_proven,
-            !is_tunnel,
-            sent_at,
-        );
+        let flight =
+            Flight::open(Rc::clone(upstream), selection.work, is_proven, !is_tunnel, sent_at);
         let message = self.encode_request(upstream, last_event_id);
         let may_send_more =
             self.route.kind.is_repeatable() && self.sent_count < self.route.max_attempts;
@@ -516,7 +538,8 @@
         let now = front.clock.now();
         flight.record_answered(now);
         if let Some((running, waiting, _)) = metadata.load {
-            upstream.record_load(running, waiting, now);
+            let slowness = metadata.slowness;
+            upstream.record_load(Report { running, waiting, slowness }, now);
         }
         let expected_seconds = selection.expected_seconds;
         Ok(Answer { conn, head, metadata, flight, is_reusable, sent_at, expected_seconds })
@@ -607,6 +630,9 @@
         let now = self.front.clock.now();
         let upstream = &selection.upstream;
         match failure {
+            // The packets of the connect may wait in the full link of this instance.
+            Failure::Connect(error)
+                if error.kind() == ErrorKind::TimedOut && self.front.is_congested() => {}
             Failure::Connect(error) => {
                 if self.front.path_state(&self.service) == State::Works
                     || error.kind() == ErrorKind::HostUnreachable
@@ -617,7 +643,11 @@
             // Another upstream uses the address now.
             Failure::NotRun(MISDIRECTED) => upstream.eject(now),
             // The upstream is full, and its answer has reported its load, or the fault is not its own.
-            Failure::NotRun(_) | Failure::Unproven | Failure::NoPath | Failure::PathLost => {}
+            Failure::NotRun(_)
+            | Failure::Unproven
+            | Failure::Evacuated
+            | Failure::NoPath
+            | Failure::PathLost => {}
             Failure::Exchange(_) | Failure::Timeout | Failure::ServerError(_) => {
                 upstream.record_failure(now);
             }
@@ -704,6 +734,9 @@
         if self.may_have_run {
             return Refusal::unknown(502, "upstream_failed");
         }
+        if self.front.fleet.is_service_evacuated(&self.service) {
+            return evacuated_refusal();
+        }
         Refusal::not_run(503, "no_upstream").retry_after(self.unavailable_retry())
     }
 
@@ -716,6 +749,11 @@
     }
 }
 
+/// Returns the refusal of a request whose service has upstreams in evacuated domains only.
+pub(crate) fn evacuated_refusal() -> Refusal {
+    Refusal::not_run(503, "evacuated").retry_after(EVACUATED_RETRY)
+}
+
 impl Answer {
     /// Records the time since the request was sent, divided by the expected time.
     pub fn record_slowness(&self, now: Duration) {
--- a/crates/front/src/fleet.rs
+++ b/crates/front/src/fleet.rs
@@ -5,11 +5,13 @@
 use std::rc::Rc;
 
 use base::prelude::*;
+use route::cost::{self, Length, Work};
 use route::placement::{self, Workload};
 use route::prefix;
 
+use crate::evacuation::Evacuations;
 use crate::params::Params;
-use crate::upstream::{Entry, Upstream};
+use crate::upstream::{Demand, Entry, Upstream};
 
 /// Expected duration of a plain request at a slowness of 1.
 const PLAIN_CALL_SECONDS: f64 = 0.02;
@@ -23,6 +25,14 @@
 /// It covers the longest wait of the feed for a change, and that for a late answer.
 const LIST_VALIDITY: Duration = Duration::from_millis(2_600);
 
+/// Most pairs of a route and a client account whose output lengths are remembered.
+///
+/// It bounds the memory where routes or accounts change for as long as the instance runs.
+const MAX_LENGTHS: usize = 4_096;
+
+/// Route and client account of requests whose outputs are about equally long.
+type LengthKey = (Arc<str>, Option<AccountId>);
+
 /// An upstream selected for an attempt of a request.
 #[derive(Debug, Clone)]
 pub struct Selection {
@@ -30,6 +40,8 @@
     pub upstream: Rc<Upstream>,
     /// Leading prompt tokens that the upstream probably has cached.
     pub cached_tokens: Tokens,
+    /// What the request is expected to cost there; `None` for plain requests.
+    pub work: Option<Work>,
     /// Expected time to the first token, or to the answer of a plain request.
     pub expected_seconds: f64,
     /// Number of upstreams that could have been selected.
@@ -51,6 +63,12 @@
     domain: DomainId,
     upstreams: RefCell<HashMap<UpstreamId, Rc<Upstream>>>,
     services: RefCell<HashMap<ServiceId, Vec<Rc<Upstream>>>>,
+    /// Rates that are usual at the upstreams of each service; kept while this instance runs.
+    rates: RefCell<HashMap<ServiceId, Rc<Cell<cost::Service>>>>,
+    /// Output lengths by route and client account.
+    lengths: RefCell<HashMap<LengthKey, Length>>,
+    /// Tokens that fit into the key-value cache of one upstream, by service.
+    memory_limits: RefCell<HashMap<ServiceId, Tokens>>,
     /// Most requests of this instance in flight at one upstream, by service.
     connection_limits: RefCell<HashMap<ServiceId, usize>>,
     /// Rejections per second that an upstream of a brittle service can bear.
@@ -58,6 +76,8 @@
     version: Cell<u64>,
     /// When the list was last known to be complete; `None` while the store does not answer.
     confirmed_at: Cell<Option<Duration>>,
+    /// Failure domains whose upstreams get no requests.
+    pub evacuations: Evacuations,
 }
 
 impl Fleet {
@@ -68,10 +88,14 @@
             domain,
             upstreams: RefCell::default(),
             services: RefCell::default(),
+            rates: RefCell::default(),
+            lengths: RefCell::default(),
+            memory_limits: RefCell::default(),
             connection_limits: RefCell::default(),
             brittle_limits: RefCell::default(),
             version: Cell::new(0),
             confirmed_at: Cell::default(),
+            evacuations: Evacuations::default(),
         }
     }
 
@@ -162,6 +186,47 @@
         *self.connection_limits.borrow_mut() = limits;
     }
 
+    /// Replaces the memory of an upstream in tokens, by service; unknown without an entry.
+    pub fn set_memory_limits(&self, limits: HashMap<ServiceId, Tokens>) {
+        *self.memory_limits.borrow_mut() = limits;
+    }
+
+    /// Returns the output tokens that a generation is expected to need.
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the estimate is positive and at most the largest output of the request"
+    )]
+    pub fn expected_output(
+        &self,
+        route: &Arc<str>,
+        account: Option<&AccountId>,
+        params: &Params,
+    ) -> Tokens {
+        let Some(generation) = params.generation else { return 0 };
+        let lengths = self.lengths.borrow();
+        let length = lengths.get(&(Arc::clone(route), account.map(Arc::clone)));
+        let length = length.copied().unwrap_or_default();
+        length.estimate(params.length_hint, generation.max_output_tokens).0 as Tokens
+    }
+
+    /// Learns from the output of a whole answer.
+    pub fn record_output(
+        &self,
+        route: &Arc<str>,
+        account: Option<&AccountId>,
+        hint: Option<Tokens>,
+        tokens: Tokens,
+    ) {
+        let mut lengths = self.lengths.borrow_mut();
+        if lengths.len() >= MAX_LENGTHS {
+            lengths.clear();
+        }
+        let length = lengths.entry((Arc::clone(route), account.map(Arc::clone)));
+        length.or_default().observe(hint, tokens);
+    }
+
     /// Applies one change; returns true if it changed the fleet.
     pub fn apply(&self, change: &Change) -> bool {
         !self.apply_all(std::slice::from_ref(change)).is_empty()
@@ -200,7 +265,9 @@
             known.leaving.set(true);
         }
         let id = Arc::clone(&entry.id);
-        upstreams.insert(id, Rc::new(Upstream::open(entry.clone(), 1.0)));
+        let mut rates = self.rates.borrow_mut();
+        let service = Rc::clone(rates.entry(Arc::clone(&entry.service)).or_default());
+        upstreams.insert(id, Rc::new(Upstream::open(entry.clone(), service, 1.0)));
         true
     }
 
@@ -227,18 +294,41 @@
     #[must_use]
     pub fn wait(&self, service: &str, now: Duration) -> Option<Duration> {
         let services = self.services.borrow();
-        let staying = services.get(service)?.iter().filter(|upstream| !upstream.leaving.get());
+        let staying = services
+            .get(service)?
+            .iter()
+            .filter(|upstream| !upstream.leaving.get() && !self.is_evacuated(upstream));
         staying.map(|upstream| upstream.wait(now)).min().filter(|wait| !wait.is_zero())
     }
 
+    /// Returns true if the operator has evacuated the domain of an upstream.
+    #[must_use]
+    pub fn is_evacuated(&self, upstream: &Upstream) -> bool {
+        self.evacuations.contains(&upstream.entry.domain)
+    }
+
+    /// Returns true if a service has upstreams that stay, all of them in evacuated domains.
+    #[must_use]
+    pub fn is_service_evacuated(&self, service: &str) -> bool {
+        if self.evacuations.is_empty() {
+            return false;
+        }
+        let services = self.services.borrow();
+        let Some(upstreams) = services.get(service) else { return false };
+        let mut staying = upstreams.iter().filter(|upstream| !upstream.leaving.get()).peekable();
+        staying.peek().is_some() && staying.all(|upstream| self.is_evacuated(upstream))
+    }
+
     /// Selects an upstream of a service that `admits` accepts, except for those in `tried`.
     ///
-    /// Returns `None` if no upstream may get the request.
+    /// `output_tokens` are expected of a generation. Returns `None` if no upstream may get the
+    /// request.
     #[must_use]
     pub fn select(
         &self,
         service: &str,
         params: &Params,
+        output_tokens: Tokens,
         tried: &[UpstreamId],
         admits: impl Fn(&Upstream) -> bool,
         now: Duration,
@@ -252,8 +342,13 @@
             .filter(|upstream| !upstream.leaving.get() && !tried.contains(&upstream.entry.id))
             .filter(|upstream| upstream.in_flight() < max_in_flight)
             .filter(|upstream| upstream.wait(now).is_zero())
+            .filter(|upstream| !self.is_evacuated(upstream))
             .filter(|upstream| admits(upstream))
             .collect();
+        if !self.evacuations.is_empty() {
+            let domains = services.get(service)?.iter().map(|upstream| &upstream.entry.domain);
+            self.evacuations.record_diverted(domains);
+        }
         let available: Vec<&Rc<Upstream>> =
             eligible.iter().copied().filter(|upstream| upstream.is_available(now)).collect();
         // If all are ejected, the network of this instance may be at fault, so none is excluded.
@@ -262,6 +357,25 @@
         let rendezvous_pair = rendezvous_pair(&usable, params, &prefix_hashes);
         let shared: Tokens =
             params.prompt_parts[..params.shared_part_count()].iter().map(|part| part.tokens).sum();
+        let rates = self.rates.borrow();
+        let mut learned = rates.get(service)?.get();
+        let generation = params.generation.unwrap_or_default();
+        if params.generation.is_some() {
+            let own = usable.iter().map(|upstream| upstream.own_work(&learned, now));
+            let sum = |sum: (usize, f64, Tokens), own: (usize, f64, Tokens)| {
+                (sum.0 + own.0, sum.1 + own.1, sum.2 + own.2)
+            };
+            let (requests, queued, memory) = own.fold((0, 0.0, 0), sum);
+            learned.observe_own(requests, queued, memory);
+            rates.get(service)?.set(learned);
+        }
+        let demand = Demand {
+            domain: &self.domain,
+            service: &learned,
+            prompt_tokens: generation.prompt_tokens,
+            output_tokens,
+            memory_limit: self.memory_limits.borrow().get(service).copied(),
+        };
         let candidates: Vec<placement::Candidate> = usable
             .iter()
             .enumerate()
@@ -272,7 +386,7 @@
                     Some((_, second)) if second == index => scale(shared, SECOND_CACHED_RATIO),
                     _ => 0,
                 };
-                let mut candidate = upstream.candidate(known.max(assumed), &self.domain, now);
+                let mut candidate = upstream.candidate(&demand, known.max(assumed), now);
                 if params.generation.is_none() {
                     candidate.slowness *= PLAIN_CALL_SECONDS;
                 }
@@ -287,10 +401,20 @@
             prefix::mix(prefix::extend_hash(seed, usable[index].entry.id.as_bytes()))
         };
         let index = placement::choose(workload, &candidates, tie)?;
+        let chosen = &candidates[index];
+        let work = params.generation.map(|generation| Work {
+            prefill_tokens: generation.prompt_tokens.saturating_sub(chosen.cached_tokens),
+            memory_tokens: demand.memory_tokens(chosen.cached_tokens),
+            queued_tokens: chosen.queued_tokens,
+            factor: chosen.factor,
+            uncertainty: chosen.uncertainty,
+            token_seconds: chosen.rates.token_seconds,
+        });
         Some(Selection {
             upstream: Rc::clone(usable[index]),
-            cached_tokens: candidates[index].cached_tokens,
-            expected_seconds: candidates[index].expected_seconds(workload),
+            cached_tokens: chosen.cached_tokens,
+            work,
+            expected_seconds: chosen.expected_seconds(workload),
             candidate_count: usable.len(),
         })
     }
--- a/crates/front/src/metric.rs
+++ b/crates/front/src/metric.rs
@@ -1,6 +1,7 @@
 //! Prometheus metrics of the requests that are routed by host and path.
 
 use std::io::ErrorKind;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use prometheus_client::encoding::{EncodeLabelSet, text};
@@ -83,6 +84,13 @@
     }
 }
 
+/// Labels of the metrics of evacuations.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct DomainLabels {
+    /// Failure domain.
+    pub domain: String,
+}
+
 /// Registry of the metrics, and handles to update them.
 #[derive(Debug)]
 pub struct Metrics {
@@ -93,6 +101,10 @@
     pub connects: Family<ConnectLabels, Counter>,
     /// Tunnels through other instances by service and result.
     pub tunnels: Family<ConnectLabels, Counter>,
+    /// 1 for each evacuated failure domain; other domains have no value.
+    pub evacuated_domains: Family<DomainLabels, Gauge>,
+    /// Selections that passed over upstreams of a domain, counted once it is taken back.
+    pub diverted_selections: Family<DomainLabels, Counter>,
     /// Time from arrival to the first event of a stream.
     pub first_byte_seconds: Family<AccountLabels, Histogram>,
     /// Time from arrival to the end of an answer.
@@ -103,6 +115,10 @@
     held_descriptors: Family<HeldLabels, Gauge>,
     /// Connections that gave way.
     evictions: Family<EvictionLabels, Counter>,
+    /// How often connects of callers began to be refused because the link was full.
+    pub gate_closings: Counter,
+    /// Time for which connects of callers were refused.
+    pub gate_closed_seconds: Counter<f64, AtomicU64>,
     /// Calls and bytes on the links to other instances.
     pub peer: watch::peer::Counters,
     /// Calls to the store and their bytes.
@@ -119,11 +135,23 @@
         let requests = Family::default();
         let connects = Family::default();
         let tunnels = Family::default();
+        let evacuated_domains = Family::default();
+        let diverted_selections = Family::default();
         let first_byte_seconds = Family::new_with_constructor(histogram as fn() -> Histogram);
         let whole_answer_seconds = Family::new_with_constructor(histogram as fn() -> Histogram);
         registry.register("requests", "Requests by route and outcome", requests.clone());
         registry.register("connects", "Connects to upstreams", connects.clone());
         registry.register("tunnels", "Tunnels through other instances", tunnels.clone());
+        registry.register(
+            "evacuated_domains",
+            "Failure domains whose upstreams get no requests",
+            evacuated_domains.clone(),
+        );
+        registry.register(
+            "diverted_selections",
+            "Selections that passed over an evacuated domain, by the end of its evacuation",
+            diverted_selections.clone(),
+        );
         registry.register(
             "first_byte_seconds",
             "Time from arrival to the first event of a stream",
@@ -144,6 +172,18 @@
             held_descriptors.clone(),
         );
         registry.register("evictions", "Connections that gave way", evictions.clone());
+        let gate_closings = Counter::default();
+        let gate_closed_seconds = Counter::<f64, AtomicU64>::default();
+        registry.register(
+            "gate_closings",
+            "Times that connects of callers began to be refused",
+            gate_closings.clone(),
+        );
+        registry.register(
+            "gate_closed_seconds",
+            "Time for which connects of callers were refused",
+            gate_closed_seconds.clone(),
+        );
         let peer = watch::peer::Counters::default();
         peer.register(&mut registry);
         let store = watch::store::Counters::default();
@@ -153,11 +193,15 @@
             requests,
             connects,
             tunnels,
+            evacuated_domains,
+            diverted_selections,
             first_byte_seconds,
             whole_answer_seconds,
             held_bytes,
             held_descriptors,
             evictions,
+            gate_closings,
+            gate_closed_seconds,
             peer,
             store,
         }
@@ -204,6 +248,19 @@
         self.tunnels.get_or_create(&ConnectLabels { service: service.to_owned(), result }).inc();
     }
 
+    /// Notes that a failure domain is evacuated.
+    pub fn record_evacuated(&self, domain: &str) {
+        let labels = DomainLabels { domain: domain.to_owned() };
+        self.evacuated_domains.get_or_create(&labels).set(1);
+    }
+
+    /// Notes that a failure domain takes requests again, and how many selections passed it over.
+    pub fn record_taken_back(&self, domain: &str, diverted_count: u64) {
+        let labels = DomainLabels { domain: domain.to_owned() };
+        self.evacuated_domains.remove(&labels);
+        self.diverted_selections.get_or_create(&labels).inc_by(diverted_count);
+    }
+
     /// Adds the time of an account's request to a histogram.
     pub fn observe(family: &Family<AccountLabels, Histogram>, account: &str, time: Duration) {
         let labels = AccountLabels { account: account.to_owned() };
--- a/crates/h1/src/conn.rs
+++ b/crates/h1/src/conn.rs
@@ -13,7 +13,7 @@
 
 use crate::frame;
 use crate::head::Framing;
-use crate::{Body, Error, Response};
+use crate::{Body, Error, Response, Traffic};
 
 /// Free space of the input buffer before each read; fits a typical head or event.
 const READ_RESERVE_BYTES: usize = 8 << 10;
@@ -168,13 +168,17 @@
     fn try_read(&mut self) -> io::Result<usize> {
         let Some(frames) = &mut self.frames else {
             self.input.reserve(READ_RESERVE_BYTES);
-            return self.stream.try_read_buf(&mut self.input);
+            let count = self.stream.try_read_buf(&mut self.input)?;
+            Traffic::record(count, 0);
+            return Ok(count);
         };
         while !frames.has_ended() {
             frames.input.reserve(READ_RESERVE_BYTES);
-            if self.stream.try_read_buf(&mut frames.input)? == 0 {
+            let received = self.stream.try_read_buf(&mut frames.input)?;
+            if received == 0 {
                 return Err(io::ErrorKind::ConnectionReset.into());
             }
+            Traffic::record(received, 0);
             let count = frames.decode(&mut self.input);
             if count > 0 {
                 return Ok(count);
@@ -240,7 +244,12 @@
                 if left <= READ_RESERVE_BYTES {
                     return self.fill_input().await;
                 }
-                self.read_with(|conn| conn.stream.try_read_buf(&mut (&mut bytes).limit(size))).await
+                self.read_with(|conn| {
+                    conn.stream
+                        .try_read_buf(&mut (&mut bytes).limit(size))
+                        .inspect(|count| Traffic::record(*count, 0))
+                })
+                .await
             };
             let count = match idle_timeout {
                 Some(limit) => tokio::time::timeout(limit, read)
@@ -315,7 +324,10 @@
         while !bytes.is_empty() {
             match self.stream.try_write(bytes) {
                 Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
-                Ok(count) => bytes = &bytes[count..],
+                Ok(count) => {
+                    Traffic::record(0, count);
+                    bytes = &bytes[count..];
+                }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     self.stream.writable().await?;
                 }
@@ -396,6 +408,7 @@
                 let parts = [IoSlice::new(head), IoSlice::new(body)];
                 match self.stream.try_write_vectored(&parts) {
                     Ok(count) => {
+                        Traffic::record(0, count);
                         let head_count = count.min(head.len());
                         head.advance(head_count);
                         body.advance(count - head_count);
