--- a/crates/h1/src/lib.rs
+++ b/crates/h1/src/lib.rs
@@ -12,7 +12,7 @@
 pub mod traffic;
 
 pub use crate::body::Body;
-pub use crate::conn::Conn;
+pub use crate::conn::{Conn, Gauge};
 pub use crate::error::Error;
 pub use crate::head::{Fields, Framing, Request, Response};
 pub use crate::traffic::Traffic;
