Count the crashes of a request or part at all services together

Change: a suspect has one record for all services, whose crashes name their service. All crashes count that no answer at their own service has followed. At a service that has answered, only its own later ones count, since what crashes the upstreams of one service may be harmless at another. Trials are counted for all services together.

Tests: crashing_parts (route) replays crashes and answers at several services, a_request_that_crashes_engines_stays_known_when_its_route_moves (platform end_to_end) a moved route. The calls in existing tests name the service; what they check is unchanged.

--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -162,14 +162,9 @@
         let request_hash =
             prefix::mix(prefix::extend_hash(prefix::mix(3), params.stream_id().as_bytes()));
         let service = route.pick_service(request_hash).map_or_else(|| "".into(), Arc::clone);
-        let request_id = suspect::request_id(
-            &service,
-            account.as_deref().unwrap_or_default(),
-            &head.target,
-            &body,
-        );
-        let mut suspects = vec![request_id];
-        suspects.extend(params.shared_part_ids(&service));
+        let account_name = account.as_deref().unwrap_or_default();
+        let mut suspects = vec![suspect::request_id(account_name, &head.target, &body)];
+        suspects.extend(params.shared_part_ids());
         let time_limit = params.timeout.map_or(route.timeout, |time| time.min(route.timeout));
         Self {
             front: Rc::clone(front),
@@ -214,7 +209,7 @@
     ///
     /// Returns the refusal for the caller if no upstream begins an answer.
     pub async fn send(&mut self, last_event_id: Option<u64>) -> Result<Answer, Refusal> {
-        match self.front.suspects.admit(&self.suspects).await {
+        match self.front.suspects.admit(&self.service, &self.suspects).await {
             Admission::Granted => {}
             Admission::Trial => self.is_trial = true,
             Admission::Refused => return Err(self.poison_refusal()),
@@ -281,7 +276,7 @@
             self.may_have_run |= !matches!(failure, Failure::NotRun(_));
             if let Failure::Exchange(error) = &failure {
                 self.detect_crash(&selection.upstream, error, false).await;
-                if self.front.suspects.is_refused(&self.suspects) {
+                if self.front.suspects.is_refused(&self.service, &self.suspects) {
                     return Err(self.poison_refusal());
                 }
             }
@@ -427,12 +422,12 @@
 
     /// Clears the prompt parts of suspicion, because the answer to the request has begun.
     pub fn record_begun_answer(&self) {
-        self.front.suspects.record_answer(&self.suspects[1..]);
+        self.front.suspects.record_answer(&self.service, &self.suspects[1..]);
     }
 
     /// Clears the request and its prompt parts of suspicion, because its answer is complete.
     pub fn record_whole_answer(&self) {
-        self.front.suspects.record_answer(&self.suspects);
+        self.front.suspects.record_answer(&self.service, &self.suspects);
     }
 
     async fn attempt(
@@ -658,6 +653,7 @@
         let count = if has_begun { 1 } else { self.suspects.len() };
         let suspects = self.suspects.iter().zip(sent_at).take(count);
         front.suspects.record_crash(&Crash {
+            service: Arc::clone(&self.service),
             suspects: suspects
                 .map(|(id, sent_at)| Suspect { id: *id, sent_before: now.saturating_sub(sent_at) })
                 .collect(),
--- a/crates/front/src/params.rs
+++ b/crates/front/src/params.rs
@@ -72,15 +72,12 @@
         hashes.collect()
     }
 
-    /// Returns an id for each part that other requests may share, valid for one service.
-    ///
-    /// The same part may crash the upstreams of one service and not those of another.
+    /// Returns an id for each part that other requests may share, the same at all services.
     #[must_use]
-    pub fn shared_part_ids(&self, service: &str) -> Vec<u64> {
-        let service_hash = prefix::extend_hash(prefix::mix(5), service.as_bytes());
+    pub fn shared_part_ids(&self) -> Vec<u64> {
         let parts = &self.prompt_parts[..self.shared_part_count()];
         let id =
-            |part: &Part| prefix::mix(prefix::extend_hash(service_hash, &part.id.to_le_bytes()));
+            |part: &Part| prefix::mix(prefix::extend_hash(prefix::mix(5), &part.id.to_le_bytes()));
         parts.iter().map(id).collect()
     }
 
--- a/crates/route/src/poison/suspect.rs
+++ b/crates/route/src/poison/suspect.rs
@@ -8,6 +8,11 @@
 //! the parts of its prompt, and a complete one the request as well. After [`MAX_CRASHES`] such
 //! crashes all instances refuse requests with the suspect, but for a few trials, the answers to which
 //! would clear it.
+//!
+//! The load pattern is one request, or requests with one part, that come again and again, while
+//! routes move to other services or are split among them. The crashes at all services add up to one
+//! count, so that the suspect is not new at the next service. What crashes the upstreams of one
+//! service may be harmless at another, so an answer clears only the service that gave it.
 
 pub mod board;
 pub mod client;
@@ -21,7 +26,7 @@
 
 pub use super::MAX_CRASHES;
 
-/// Id of a whole request or of a part of a prompt, at the upstreams of one service.
+/// Id of a whole request or of a part of a prompt, the same at all services.
 pub type Id = u64;
 
 /// Returns the id of a whole request; equal requests have equal ids.
@@ -30,14 +35,14 @@
 ///
 /// ```
 /// use route::poison::suspect::request_id;
-/// let one = request_id("service", "account", "/path", b"body");
-/// assert_eq!(one, request_id("service", "account", "/path", b"body"));
-/// assert_ne!(one, request_id("service", "account", "/path", b"other"));
+/// let one = request_id("account", "/path", b"body");
+/// assert_eq!(one, request_id("account", "/path", b"body"));
+/// assert_ne!(one, request_id("account", "/path", b"other"));
 /// ```
 #[must_use]
-pub fn request_id(service: &str, account: &str, path: &str, body: &[u8]) -> Id {
+pub fn request_id(account: &str, path: &str, body: &[u8]) -> Id {
     let mut hash = Sha256::new();
-    for text in [service, account, path] {
+    for text in [account, path] {
         hash.update(text.len().to_le_bytes());
         hash.update(text.as_bytes());
     }
@@ -69,6 +74,8 @@
 /// A crash of an upstream before it had completed the answer to a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Crash {
+    /// Service of the upstream.
+    pub service: ServiceId,
     /// The request, and the shared parts of its prompt if its answer had not begun.
     pub suspects: Vec<Suspect>,
     /// Id of the upstream's incarnation; it crashes once.
@@ -77,16 +84,17 @@
 
 /// Access to the records of suspects, which all instances share.
 pub trait Suspects: fmt::Debug {
-    /// Decides whether a request with these suspects may be sent.
+    /// Decides whether a request with these suspects may be sent to upstreams of a service.
     ///
     /// Waits for the shared table only if the request may be a trial.
-    fn admit<'a>(&'a self, ids: &'a [Id]) -> LocalBoxFuture<'a, Admission>;
+    fn admit<'a>(&'a self, service: &'a ServiceId, ids: &'a [Id]) -> LocalBoxFuture<'a, Admission>;
 
-    /// Returns true if a request with these suspects must not be sent to another upstream.
-    fn is_refused(&self, ids: &[Id]) -> bool;
+    /// Returns true if a request with these suspects must not be sent to another upstream of a
+    /// service.
+    fn is_refused(&self, service: &ServiceId, ids: &[Id]) -> bool;
 
-    /// Records an answer, which clears suspects of its request.
-    fn record_answer(&self, ids: &[Id]);
+    /// Records an answer of a service, which clears suspects of its request there.
+    fn record_answer(&self, service: &ServiceId, ids: &[Id]);
 
     /// Records a crash, at this instance at once and at the others through the table.
     fn record_crash(&self, crash: &Crash);
--- a/crates/route/src/poison/suspect/board.rs
+++ b/crates/route/src/poison/suspect/board.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use base::clock::millis;
+use base::prelude::ServiceId;
 
 use super::record::{Crash, Record};
 use super::{Admission, Id, Suspect};
@@ -36,43 +37,54 @@
 #[derive(Debug, Default)]
 pub struct Board {
     entries: HashMap<Id, Entry>,
-    /// When an answer last cleared the suspect.
-    answers: HashMap<Id, Millis>,
+    /// When an answer of a service last cleared the suspect.
+    answers: HashMap<(Id, ServiceId), Millis>,
+}
+
+/// What an answer has changed in the records.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Clearance {
+    /// Suspects without a crash that counts anywhere; their records are removed.
+    pub disproved: Vec<Id>,
+    /// Suspects that are clear at the service only; the table must be told.
+    pub harmless: Vec<Id>,
 }
 
 impl Board {
-    /// Classifies a suspect at time `now`.
+    /// Classifies a suspect at the upstreams of a service at time `now`.
     #[must_use]
-    pub fn verdict(&self, id: Id, now: Millis) -> Verdict {
-        match self.entries.get(&id) {
-            Some(entry) if !self.is_cleared(id, &entry.record) => entry.record.verdict(now),
-            _ => Verdict::Clear,
-        }
-    }
-
-    /// Returns true if an answer has begun since the first crash.
-    fn is_cleared(&self, id: Id, record: &Record) -> bool {
-        self.answers.get(&id).is_some_and(|at| *at >= record.first_crash())
+    pub fn verdict(&self, service: &ServiceId, id: Id, now: Millis) -> Verdict {
+        let Some(Entry { record, .. }) = self.entries.get(&id) else { return Verdict::Clear };
+        let answered_at = self.answers.get(&(id, ServiceId::clone(service)));
+        let counts = |crash: &&Crash| {
+            answered_at.is_none_or(|at| {
+                // An answer shortly before a crash elsewhere shows that the suspect is harmless here.
+                let is_own = crash.service == *service;
+                let validity = if is_own { 0 } else { millis(ANSWER_VALIDITY) };
+                crash.at > at.saturating_add(validity)
+            })
+        };
+        record.verdict_of(record.counted_crashes(service).filter(counts), now)
     }
 
-    /// Returns the suspects that crash upstreams.
+    /// Returns the suspects that crash upstreams of a service.
     #[must_use]
-    pub fn guilty(&self, ids: &[Id], now: Millis) -> Vec<Id> {
+    pub fn guilty(&self, service: &ServiceId, ids: &[Id], now: Millis) -> Vec<Id> {
         if self.entries.is_empty() {
             return Vec::new();
         }
-        let is_guilty = |id: &Id| self.verdict(*id, now) == Verdict::Guilty;
+        let is_guilty = |id: &Id| self.verdict(service, *id, now) == Verdict::Guilty;
         let guilty: HashSet<Id> = ids.iter().copied().filter(is_guilty).collect();
         guilty.into_iter().collect()
     }
 
-    /// Decides whether a request may be sent; the trial of the returned suspects must be claimed
-    /// first.
+    /// Decides whether a request may be sent to upstreams of a service; the trial of the returned
+    /// suspects must be claimed first.
     ///
     /// A trial is one of all suspects, so that none of them is tried more often than alone.
     #[must_use]
-    pub fn admit(&self, ids: &[Id], now: Millis) -> (Admission, Vec<Id>) {
-        let guilty = self.guilty(ids, now);
+    pub fn admit(&self, service: &ServiceId, ids: &[Id], now: Millis) -> (Admission, Vec<Id>) {
+        let guilty = self.guilty(service, ids, now);
         if guilty.is_empty() {
             (Admission::Granted, guilty)
         } else if guilty.iter().all(|id| self.entries[id].record.is_trial_due(now)) {
@@ -82,8 +94,8 @@
         }
     }
 
-    /// Records an answer that clears suspects; returns those whose records it disproves.
-    pub fn record_answer(&mut self, ids: &[Id], now: Millis) -> Vec<Id> {
+    /// Records an answer of a service that clears suspects there.
+    pub fn record_answer(&mut self, service: &ServiceId, ids: &[Id], now: Millis) -> Clearance {
         if self.answers.len() + ids.len() > MAX_ANSWERS {
             let oldest = now.saturating_sub(millis(ANSWER_VALIDITY));
             self.answers.retain(|_, at| *at >= oldest);
@@ -91,17 +103,34 @@
                 self.answers.clear();
             }
         }
-        self.answers.extend(ids.iter().map(|id| (*id, now)));
-        ids.iter().copied().filter(|id| self.entries.remove(id).is_some()).collect()
+        self.answers.extend(ids.iter().map(|id| ((*id, ServiceId::clone(service)), now)));
+        let mut clearance = Clearance::default();
+        for id in ids {
+            let Some(entry) = self.entries.get_mut(id) else { continue };
+            if entry.record.counted_crashes(service).next().is_none() {
+                continue;
+            }
+            entry.record.clear(service, now);
+            if entry.record.is_disproved() {
+                self.entries.remove(id);
+                clearance.disproved.push(*id);
+            } else {
+                entry.is_unpublished = true;
+                clearance.harmless.push(*id);
+            }
+        }
+        clearance
     }
 
     /// Records a crash; returns true if the table must be told.
     pub fn record_crash(&mut self, crash: &super::Crash, now: Millis) -> bool {
         let oldest_answer = now.saturating_sub(millis(ANSWER_VALIDITY));
         let answers = &self.answers;
+        let service = &crash.service;
         let mut suspects: Vec<Suspect> = Vec::new();
         for suspect in &crash.suspects {
-            let is_answered = answers.get(&suspect.id).is_some_and(|at| *at >= oldest_answer);
+            let answered_at = answers.get(&(suspect.id, ServiceId::clone(service)));
+            let is_answered = answered_at.is_some_and(|at| *at >= oldest_answer);
             let is_known = suspects.iter().any(|known| known.id == suspect.id);
             if !is_answered && !is_known && suspects.len() < MAX_SUSPECTS_PER_CRASH {
                 suspects.push(*suspect);
@@ -110,7 +139,8 @@
         for suspect in &suspects {
             let entry = self.entries.entry(suspect.id).or_default();
             let sent = now.saturating_sub(millis(suspect.sent_before));
-            entry.record.add_crash(&crash.run_id, Crash { sent, at: now });
+            let service = ServiceId::clone(service);
+            entry.record.add_crash(&crash.run_id, Crash { service, sent, at: now });
             entry.is_unpublished = true;
         }
         !suspects.is_empty()
@@ -166,7 +196,7 @@
 
     /// Replaces the published records by those of the table.
     ///
-    /// Returns the suspects that the table calls guilty although an answer has cleared them here.
+    /// Returns the suspects that the table calls guilty although answers have cleared them here.
     pub fn replace(&mut self, rows: Vec<(Id, u64, Record)>, now: Millis) -> Vec<Id> {
         self.entries.retain(|_, entry| {
             entry.revision = 0;
@@ -177,7 +207,7 @@
 
     /// Applies rows of the table that have changed or were deleted.
     ///
-    /// Returns the suspects that the table calls guilty although an answer has cleared them here.
+    /// Returns the suspects that the table calls guilty although answers have cleared them here.
     pub fn update(&mut self, rows: Vec<(Id, u64, Record)>, deleted: &[Id], now: Millis) -> Vec<Id> {
         for id in deleted {
             match self.entries.get_mut(id) {
@@ -197,10 +227,35 @@
             }
             self.entries.insert(id, entry);
         }
-        let is_disproved = |(id, entry): &(&Id, &Entry)| {
-            entry.record.verdict(now) == Verdict::Guilty && self.is_cleared(**id, &entry.record)
+        self.apply_answers(now)
+    }
+
+    /// Applies answers to the records that the table has sent after them.
+    ///
+    /// Returns the suspects that have no crash any more that counts anywhere.
+    fn apply_answers(&mut self, now: Millis) -> Vec<Id> {
+        let is_outdated = |(key, _): &(&(Id, ServiceId), &Millis)| {
+            let (id, service) = key;
+            let stored = self.entries.get(id).map(|entry| entry.record.verdict(service, now));
+            stored == Some(Verdict::Guilty) && self.verdict(service, *id, now) == Verdict::Clear
         };
-        self.entries.iter().filter(is_disproved).map(|(id, _)| *id).collect()
+        let outdated: Vec<(Id, ServiceId, Millis)> = if self.entries.is_empty() {
+            Vec::new()
+        } else {
+            let outdated = self.answers.iter().filter(is_outdated);
+            outdated.map(|((id, service), at)| (*id, ServiceId::clone(service), *at)).collect()
+        };
+        let mut disproved = Vec::new();
+        for (id, service, answered_at) in outdated {
+            let Some(entry) = self.entries.get_mut(&id) else { continue };
+            entry.record.clear(&service, answered_at);
+            entry.is_unpublished = true;
+            if entry.record.is_disproved() {
+                self.entries.remove(&id);
+                disproved.push(id);
+            }
+        }
+        disproved
     }
 
     /// Treats all records as unpublished, because a restore of the table may have lost them.
--- a/crates/route/src/poison/suspect/client.rs
+++ b/crates/route/src/poison/suspect/client.rs
@@ -11,7 +11,7 @@
 use slog::{Logger, info, warn};
 use store::{Change, Commit, Row, Table, Txn};
 
-use super::board::{Board, MAX_SUSPECTS_PER_CRASH};
+use super::board::{Board, Clearance, MAX_SUSPECTS_PER_CRASH};
 use super::record::Record;
 use super::{Admission, Crash, Id, Suspect, Suspects};
 use crate::poison::{Verdict, feed};
@@ -90,9 +90,9 @@
 }
 
 impl Suspects for Client {
-    fn admit<'a>(&'a self, ids: &'a [Id]) -> LocalBoxFuture<'a, Admission> {
+    fn admit<'a>(&'a self, service: &'a ServiceId, ids: &'a [Id]) -> LocalBoxFuture<'a, Admission> {
         async move {
-            let (admission, trial) = self.board.borrow().admit(ids, self.clock.now_ms());
+            let (admission, trial) = self.board.borrow().admit(service, ids, self.clock.now_ms());
             if trial.is_empty() {
                 return admission;
             }
@@ -107,16 +107,23 @@
         .boxed_local()
     }
 
-    fn is_refused(&self, ids: &[Id]) -> bool {
-        !self.board.borrow().guilty(ids, self.clock.now_ms()).is_empty()
+    fn is_refused(&self, service: &ServiceId, ids: &[Id]) -> bool {
+        !self.board.borrow().guilty(service, ids, self.clock.now_ms()).is_empty()
     }
 
-    fn record_answer(&self, ids: &[Id]) {
-        let cleared = self.board.borrow_mut().record_answer(ids, self.clock.now_ms());
-        for id in cleared {
-            info!(self.log, "suspect cleared by an answer"; "suspect" => format!("{id:x}"));
+    fn record_answer(&self, service: &ServiceId, ids: &[Id]) {
+        let Clearance { disproved, harmless } =
+            self.board.borrow_mut().record_answer(service, ids, self.clock.now_ms());
+        for id in disproved {
+            info!(self.log, "suspect cleared by an answer"; "suspect" => format!("{id:x}"),
+                "service" => service.as_ref());
             self.command(Command::Clear(id));
         }
+        if !harmless.is_empty() {
+            info!(self.log, "suspect harmless at a service"; "service" => service.as_ref(),
+                "suspects" => format!("{harmless:x?}"));
+            self.command(Command::Publish);
+        }
     }
 
     fn record_crash(&self, crash: &Crash) {
@@ -126,10 +133,11 @@
         }
         for Suspect { id, sent_before } in &crash.suspects {
             let board = self.board.borrow();
-            let verdict = board.verdict(*id, now_ms);
+            let verdict = board.verdict(&crash.service, *id, now_ms);
             if verdict != Verdict::Clear {
                 info!(self.log, "suspected of a crash"; "suspect" => format!("{id:x}"),
-                    "run" => &crash.run_id, "verdict" => ?verdict,
+                    "service" => crash.service.as_ref(), "run" => &crash.run_id,
+                    "verdict" => ?verdict,
                     "crashes" => board.entry(*id).map(|entry| entry.record.crashes.len()),
                     "sent_before_ms" => millis(*sent_before));
             }
--- a/crates/route/src/poison/suspect/record.rs
+++ b/crates/route/src/poison/suspect/record.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use base::clock::millis;
+use base::prelude::ServiceId;
 use serde::{Deserialize, Serialize};
 
 use super::MAX_CRASHES;
@@ -20,8 +21,10 @@
 type Millis = u64;
 
 /// Crash of one incarnation of an upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crash {
+    /// Service of the upstream.
+    pub service: ServiceId,
     /// When the last request with the suspect that ran there was first sent to an upstream.
     pub sent: Millis,
     /// When the crash was noticed.
@@ -33,6 +36,9 @@
 pub struct Record {
     /// Crashes by the id of the upstream's incarnation.
     pub crashes: BTreeMap<String, Crash>,
+    /// Time of the last answer at each service whose upstreams the suspect does not crash.
+    #[serde(default)]
+    pub cleared: BTreeMap<ServiceId, Millis>,
     /// Number of trials that were started.
     #[serde(default)]
     pub trials: usize,
@@ -55,44 +61,79 @@
     /// Merges another record.
     pub fn merge(&mut self, other: &Self) {
         for (run_id, crash) in &other.crashes {
-            self.add_crash(run_id, *crash);
+            self.add_crash(run_id, crash.clone());
+        }
+        for (service, at) in &other.cleared {
+            let known = self.cleared.entry(ServiceId::clone(service)).or_default();
+            *known = (*known).max(*at);
         }
         self.trials = self.trials.max(other.trials);
         self.last_trial = self.last_trial.max(other.last_trial);
     }
 
+    /// Notes that an answer has begun at a service: earlier crashes there have another cause.
+    pub fn clear(&mut self, service: &ServiceId, now: Millis) {
+        let own = self.crashes.values().filter(|crash| crash.service == *service);
+        let last = own.map(|crash| crash.at).max().unwrap_or_default();
+        let known = self.cleared.entry(ServiceId::clone(service)).or_default();
+        *known = (*known).max(last).max(now);
+    }
+
+    /// Returns true if answers have shown that no recorded crash was caused by the suspect.
+    #[must_use]
+    pub fn is_disproved(&self) -> bool {
+        self.crashes.values().all(|crash| self.is_answered_since(crash))
+    }
+
+    /// Returns true if an answer has begun at the service of a crash since then.
+    fn is_answered_since(&self, crash: &Crash) -> bool {
+        self.cleared.get(&crash.service).is_some_and(|at| *at >= crash.at)
+    }
+
+    /// Returns the crashes that count against the suspect at the upstreams of a service.
+    ///
+    /// Those at all services count, but for a service with an answer only its own later ones: what
+    /// crashes the upstreams of one service may be harmless at another.
+    pub fn counted_crashes(&self, service: &str) -> impl Iterator<Item = &Crash> {
+        let is_harmless = self.cleared.contains_key(service);
+        self.crashes.values().filter(move |crash| {
+            !self.is_answered_since(crash) && (!is_harmless || *crash.service == *service)
+        })
+    }
+
     /// Returns how many crashes there were of requests sent after the crash before.
     ///
+    /// Counts those that count against the suspect at a service.
+    ///
     /// # Examples
     ///
     /// ```
     /// use route::poison::suspect::record::{Crash, Record};
     /// let mut record = Record::default();
-    /// record.add_crash("one", Crash { sent: 10, at: 100 });
-    /// record.add_crash("at-the-same-time", Crash { sent: 20, at: 101 });
-    /// assert_eq!(record.independent_crashes(), 1);
-    /// record.add_crash("later", Crash { sent: 200, at: 300 });
-    /// assert_eq!(record.independent_crashes(), 2);
+    /// record.add_crash("one", Crash { service: "a".into(), sent: 10, at: 100 });
+    /// record.add_crash("at-the-same-time", Crash { service: "a".into(), sent: 20, at: 101 });
+    /// assert_eq!(record.independent_crashes("a"), 1);
+    /// record.add_crash("later", Crash { service: "b".into(), sent: 200, at: 300 });
+    /// assert_eq!(record.independent_crashes("a"), 2);
     /// ```
     #[must_use]
-    pub fn independent_crashes(&self) -> usize {
-        let mut crashes: Vec<Crash> = self.crashes.values().copied().collect();
-        crashes.sort_unstable_by_key(|crash| crash.at);
-        let mut last = None;
-        let mut count = 0;
-        for crash in crashes {
-            if last.is_none_or(|last| crash.sent >= last) {
-                last = Some(crash.at);
-                count += 1;
-            }
-        }
-        count
+    pub fn independent_crashes(&self, service: &str) -> usize {
+        count_independent(self.counted_crashes(service))
     }
 
-    /// Classifies the suspect at time `now`.
+    /// Classifies the suspect at the upstreams of a service at time `now`.
     #[must_use]
-    pub fn verdict(&self, now: Millis) -> Verdict {
-        match self.independent_crashes() {
+    pub fn verdict(&self, service: &str, now: Millis) -> Verdict {
+        self.verdict_of(self.counted_crashes(service), now)
+    }
+
+    /// Classifies the suspect by some of its crashes at time `now`.
+    pub(super) fn verdict_of<'a>(
+        &self,
+        crashes: impl Iterator<Item = &'a Crash>,
+        now: Millis,
+    ) -> Verdict {
+        match count_independent(crashes) {
             0 => Verdict::Clear,
             _ if self.is_expired(now) => Verdict::Clear,
             count if count < MAX_CRASHES => Verdict::Suspect,
@@ -115,12 +156,6 @@
         self.last_trial = now;
     }
 
-    /// Returns the time of the first crash, 0 if there was none.
-    #[must_use]
-    pub fn first_crash(&self) -> Millis {
-        self.crashes.values().map(|crash| crash.at).min().unwrap_or_default()
-    }
-
     /// Returns the time of the last crash, 0 if there was none.
     #[must_use]
     pub fn last_crash(&self) -> Millis {
@@ -135,3 +170,18 @@
         now.abs_diff(self.last_crash()) >= millis(RECORD_TTL)
     }
 }
+
+/// Counts the crashes of requests that were sent after the crash counted before.
+fn count_independent<'a>(crashes: impl Iterator<Item = &'a Crash>) -> usize {
+    let mut crashes: Vec<&Crash> = crashes.collect();
+    crashes.sort_unstable_by_key(|crash| crash.at);
+    let mut last = None;
+    let mut count = 0;
+    for crash in crashes {
+        if last.is_none_or(|last| crash.sent >= last) {
+            last = Some(crash.at);
+            count += 1;
+        }
+    }
+    count
+}
