Continue streams only over connections to a proven incarnation

Change: front::proof decides whether a connection leads to the listed incarnation: the list has shown it 2.6 s after the connect, or the upstream, asked by GET /lacewingpost/report, states the born of its entry. A stream continues only over such a connection. If that of its first event is not proven when it is to continue, the first upstream is asked; if that has started again, the stream ends, and a row without a version tells other instances, which read it also while one version is announced.

--- a/crates/front/src/codec.rs
+++ b/crates/front/src/codec.rs
@@ -74,6 +74,12 @@
     /// Decodes the head of an upstream's answer to the request of `params`.
     fn decode_response(&self, head: &Response, params: &Params) -> Metadata;
 
+    /// Appends a request by which an upstream is asked for what it states about itself.
+    fn encode_report_request(&self, address: std::net::SocketAddr, out: &mut BytesMut);
+
+    /// Decodes the incarnation in the answer of an upstream that was asked; `None` without one.
+    fn decode_report(&self, head: &Response, body: &[u8]) -> Option<Incarnation>;
+
     /// Returns the name of the field that carries the request id in answers.
     fn request_id_field(&self) -> &'static str;
 }
--- a/crates/front/src/connect.rs
+++ b/crates/front/src/connect.rs
@@ -1,5 +1,7 @@
 //! Connections to upstreams, directly or through another instance.
 
+mod inquiry;
+
 use std::io::{self, ErrorKind};
 use std::rc::Rc;
 
@@ -12,7 +14,10 @@
 use tokio::time::{sleep, timeout};
 use tunnel::{Entrance, Exit, Obstacle, Target};
 
+pub use self::inquiry::Doubt;
+pub(crate) use self::inquiry::Origin;
 use crate::Front;
+use crate::proof::Proof;
 use crate::upstream::Upstream;
 
 /// Longest time for a connect to an upstream.
@@ -39,8 +44,8 @@
 #[derive(Debug)]
 pub(crate) struct Opened {
     pub conn: Conn,
-    /// Whether the connection certainly leads to the listed incarnation.
-    pub is_proven: bool,
+    /// What shows that the connection leads to the listed incarnation.
+    pub proof: Proof,
     /// Whether it leads through another instance.
     pub is_tunnel: bool,
 }
@@ -54,6 +59,9 @@
     /// This instance has no path to the service, nor has any that was asked.
     #[error("no path")]
     Path,
+    /// The upstream may be a later incarnation than listed.
+    #[error("incarnation unknown: {0}")]
+    Unproven(Doubt),
 }
 
 /// What a second attempt shows after a connection to an upstream was lost.
@@ -169,9 +177,7 @@
     }
 
     async fn open_tunnel(&self, tunnels: &Tunnels, upstream: &Upstream) -> Result<Opened, Error> {
-        let now = self.clock.now();
         let entry = &upstream.entry;
-        let is_proven = self.fleet.proves_connection(upstream, now);
         let target = Target {
             service: Arc::clone(&entry.service),
             upstream: Arc::clone(&entry.id),
@@ -181,8 +187,9 @@
         self.metrics.count_tunnel(&entry.service, &connected);
         match connected {
             Ok(tunnel) => {
-                let is_proven = is_proven && tunnel.is_proven;
-                Ok(Opened { conn: tunnel.conn, is_proven, is_tunnel: true })
+                let mut proof = self.fleet.proof_of_new(upstream, self.clock.now());
+                proof.is_likely &= tunnel.is_proven;
+                Ok(Opened { conn: tunnel.conn, proof, is_tunnel: true })
             }
             Err(Obstacle::Upstream) => {
                 let upstream_count = self.fleet.service_size(&entry.service);
@@ -203,8 +210,8 @@
         let (front, upstream) = (Rc::clone(self), Rc::clone(upstream));
         ntex::rt::spawn(async move {
             let opened = front.connect_directly(&upstream, connect_timeout).await;
-            if let Err(Ok(Opened { conn, is_proven, .. })) = sender.send(opened) {
-                upstream.release(conn, is_proven, None, front.clock.now());
+            if let Err(Ok(Opened { conn, proof, .. })) = sender.send(opened) {
+                upstream.release(conn, proof, None, front.clock.now());
             }
         });
         receiver
@@ -215,16 +222,16 @@
         upstream: &Upstream,
         connect_timeout: Duration,
     ) -> io::Result<Opened> {
-        let is_proven = self.fleet.proves_connection(upstream, self.clock.now());
         let opened =
             Conn::open(upstream.entry.address, connect_timeout, self.unacked_timeout).await;
         self.record_connect(upstream, &opened);
-        Ok(Opened { conn: opened?, is_proven, is_tunnel: false })
+        let proof = self.fleet.proof_of_new(upstream, self.clock.now());
+        Ok(Opened { conn: opened?, proof, is_tunnel: false })
     }
 
     /// Connects to an upstream for another instance.
     ///
-    /// The flag tells whether the connection certainly leads to this incarnation.
+    /// The flag is false if something shows that the upstream may have started again.
     ///
     /// # Errors
     ///
@@ -251,7 +258,7 @@
             return Err(Obstacle::Path);
         }
         match self.connect_directly(&upstream, EXIT_CONNECT_TIMEOUT).await {
-            Ok(Opened { conn, is_proven, .. }) => Ok((conn, is_proven)),
+            Ok(Opened { conn, proof, .. }) => Ok((conn, proof.is_likely)),
             Err(_) if self.path_state(service) == State::Works => Err(Obstacle::Upstream),
             Err(_) => Err(Obstacle::Path),
         }
@@ -317,8 +324,8 @@
     async fn check_path(self: &Rc<Self>, upstream: &Rc<Upstream>) {
         let direct = self.spawn_connect(upstream, CONNECT_TIMEOUT);
         let is_pending = match timeout(SILENCE_LIMIT / 2, direct).await {
-            Ok(Ok(Ok(Opened { conn, is_proven, .. }))) => {
-                return upstream.release(conn, is_proven, None, self.clock.now());
+            Ok(Ok(Ok(Opened { conn, proof, .. }))) => {
+                return upstream.release(conn, proof, None, self.clock.now());
             }
             Ok(_) => false,
             Err(_elapsed) => true,
--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -17,8 +17,9 @@
 use tokio::time::timeout;
 
 use crate::codec::{Metadata, Outbound, Statement};
-use crate::connect::{self, Opened, Verdict};
+use crate::connect::{self, Doubt, Opened, Origin, Verdict};
 use crate::fleet::Selection;
+use crate::proof::Proof;
 use crate::upstream::{Entry, Flight, Upstream};
 use crate::{Front, Params, Refusal};
 
@@ -87,6 +88,8 @@
     is_trial: bool,
     /// Where the stream may go on; always free for requests that no other upstream resumes.
     pub continuation: Continuation,
+    /// Upstream that wrote the first event and what proves its incarnation, while both may be wrong.
+    begun_at: Option<(Rc<Upstream>, Proof)>,
     tried_upstreams: Vec<UpstreamId>,
     /// Time of the first attempt; `None` before it.
     first_sent_at: Option<Duration>,
@@ -119,8 +122,8 @@
 #[derive(Debug, Error)]
 enum Failure {
     /// The upstream may be a later incarnation than listed; nothing was sent.
-    #[error("incarnation unknown")]
-    Unproven,
+    #[error("incarnation unknown: {0}")]
+    Unproven(Doubt),
     /// No connection could be opened, or the upstream is leaving; nothing was sent.
     #[error("no connection: {0}")]
     Connect(std::io::Error),
@@ -144,6 +147,16 @@
     ServerError(u16),
 }
 
+impl From<connect::Error> for Failure {
+    fn from(error: connect::Error) -> Self {
+        match error {
+            connect::Error::Upstream(error) => Self::Connect(error),
+            connect::Error::Path => Self::NoPath,
+            connect::Error::Unproven(doubt) => Self::Unproven(doubt),
+        }
+    }
+}
+
 impl Call {
     /// Opens the call of an admitted request and selects its service.
     #[expect(clippy::too_many_arguments, reason = "each is the result of another step")]
@@ -181,6 +194,7 @@
             suspects,
             is_trial: false,
             continuation: Continuation::Free,
+            begun_at: None,
             tried_upstreams: Vec::new(),
             first_sent_at: None,
             last_sent_at: Duration::ZERO,
@@ -214,6 +228,7 @@
             Admission::Trial => self.is_trial = true,
             Admission::Refused => return Err(self.poison_refusal()),
         }
+        self.prove_origin().await;
         let mut failed_connects = 0;
         loop {
             let time_left = self.time_left();
@@ -265,7 +280,7 @@
             if matches!(failure, Failure::NoPath) {
                 return Err(self.no_path_refusal());
             }
-            if matches!(failure, Failure::Connect(_) | Failure::Unproven) {
+            if matches!(failure, Failure::Connect(_) | Failure::Unproven(_)) {
                 failed_connects += 1;
                 if failed_connects >= MAX_CONNECT_FAILURES {
                     self.front.record_no_exit(&self.service);
@@ -312,8 +327,8 @@
             Continuation::Free => select(&|_| true),
             Continuation::Version(version) => select(&|upstream| {
                 upstream.entry.version == *version
-                    && (front.fleet.proves_connection(upstream, now)
-                        || upstream.has_proven_idle(now))
+                    && (front.fleet.is_likely_as_listed(upstream, now)
+                        || upstream.has_idle(|proof| front.fleet.is_certain(upstream, proof), now))
             }),
             Continuation::Impossible => None,
         }
@@ -359,13 +374,15 @@
         }
         let upstream = flight.upstream();
         let version = &upstream.entry.version;
-        let is_proven = flight.is_proven() && !self.front.fleet.is_superseded(upstream);
+        let listing = self.front.fleet.listing(upstream);
         match &self.continuation {
-            Continuation::Free if is_proven && !version.is_empty() => {
+            Continuation::Free if flight.proof().is_likely(listing) && !version.is_empty() => {
                 self.continuation = Continuation::Version(Arc::clone(version));
+                self.begun_at = Some((Rc::clone(upstream), flight.proof()));
             }
             Continuation::Free => self.continuation = Continuation::Impossible,
-            Continuation::Version(first) if is_proven && first == version => {}
+            Continuation::Version(first)
+                if flight.proof().is_certain(listing) && first == version => {}
             Continuation::Version(_) | Continuation::Impossible => return false,
         }
         if let Continuation::Version(version) = &self.continuation {
@@ -374,6 +391,49 @@
         true
     }
 
+    /// Withdraws the version at which the stream began if the list has shown that it was wrong.
+    ///
+    /// The upstream may have started again just before the stream began, and its entry was late.
+    pub fn review_origin(&mut self) {
+        let is_wrong = self
+            .begun_at
+            .as_ref()
+            .is_some_and(|(upstream, proof)| !proof.is_likely(self.front.fleet.listing(upstream)));
+        if is_wrong {
+            ntex::rt::spawn(self.withdraw_origin());
+        }
+    }
+
+    /// Makes sure of the version at which the stream began, before it goes on elsewhere.
+    async fn prove_origin(&mut self) {
+        let Some((upstream, proof)) = self.begun_at.clone() else { return };
+        let request = &self.params.request_id;
+        let finding = self.front.find_incarnation(&upstream, proof, request, self.time_left());
+        match finding.await {
+            Origin::Certain => self.begun_at = None,
+            Origin::Likely => {}
+            // The caller must not take the stream up at another instance before the row is written.
+            Origin::Unknown => self.withdraw_origin().await,
+        }
+    }
+
+    /// Withdraws the version at which the stream began; the future tells the other instances.
+    fn withdraw_origin(&mut self) -> impl Future<Output = ()> + use<> {
+        let begun_at = self.begun_at.take();
+        self.continuation = Continuation::Impossible;
+        let front = Rc::clone(&self.front);
+        let (stream, service) = (Arc::clone(self.params.stream_id()), Arc::clone(&self.service));
+        info!(front.log, "origin of a stream withdrawn";
+            "request" => self.params.request_id.as_ref(), "stream" => stream.as_ref(),
+            "upstream" => begun_at.as_ref().map(|(upstream, _)| upstream.entry.id.to_string()));
+        async move {
+            let revoking = front.origins.revoke(&stream, &service);
+            if !matches!(timeout(ORIGIN_TIMEOUT, revoking).await, Ok(Ok(()))) {
+                info!(front.log, "withdrawal of an origin not written"; "stream" => stream.as_ref());
+            }
+        }
+    }
+
     /// Returns true, and consumes a retry, if another upstream may get the request.
     fn may_send_again(&self, failure: &Failure) -> bool {
         let is_safe = matches!(failure, Failure::NotRun(_)) || self.route.kind.is_repeatable();
@@ -393,7 +453,8 @@
 
     /// Returns true, and consumes a retry, if an interrupted answer may be resumed.
     #[must_use]
-    pub fn may_resume(&self) -> bool {
+    pub fn may_resume(&mut self) -> bool {
+        self.review_origin();
         self.can_go_on() && self.consume_retry()
     }
 
@@ -440,23 +501,18 @@
         let upstream = &selection.upstream;
         let now = front.clock.now();
         let needs_proof = matches!(self.continuation, Continuation::Version(_));
-        let idle = upstream.acquire_idle(needs_proof, now);
+        let admits = |proof| !needs_proof || front.fleet.is_certain(upstream, proof);
+        let idle = upstream.acquire_idle(admits, now);
         let is_reused = idle.is_some();
-        let opened = if let Some((conn, is_proven)) = idle {
-            Opened { conn, is_proven, is_tunnel: false }
+        let opened = if let Some((conn, proof)) = idle {
+            Opened { conn, proof, is_tunnel: false }
+        } else if needs_proof {
+            let request = &self.params.request_id;
+            front.connect_proven(upstream, request, time_left).await.map_err(Failure::from)?
         } else {
-            if needs_proof && !front.fleet.proves_connection(upstream, now) {
-                return Err(Failure::Unproven);
-            }
-            front.connect(upstream, time_left).await.map_err(|error| match error {
-                connect::Error::Upstream(error) => Failure::Connect(error),
-                connect::Error::Path => Failure::NoPath,
-            })?
+            front.connect(upstream, time_left).await.map_err(Failure::from)?
         };
-        let Opened { mut conn, is_proven, is_tunnel } = opened;
-        if needs_proof && !is_proven {
-            return Err(Failure::Unproven);
-        }
+        let Opened { mut conn, proof, is_tunnel } = opened;
         if upstream.leaving.get() {
             return Err(Failure::Connect(ErrorKind::NotConnected.into()));
         }
@@ -469,7 +525,7 @@
             Rc::clone(upstream),
             &self.params,
             selection.cached_tokens,
-            is_proven,
+            proof,
             !is_tunnel,
             sent_at,
         );
@@ -607,7 +663,7 @@
             // Another upstream uses the address now.
             Failure::NotRun(MISDIRECTED) => upstream.eject(now),
             // The upstream is full, and its answer has reported its load, or the fault is not its own.
-            Failure::NotRun(_) | Failure::Unproven | Failure::NoPath | Failure::PathLost => {}
+            Failure::NotRun(_) | Failure::Unproven(_) | Failure::NoPath | Failure::PathLost => {}
             Failure::Exchange(_) | Failure::Timeout | Failure::ServerError(_) => {
                 upstream.record_failure(now);
             }
@@ -632,8 +688,8 @@
         let run_id = format!("{}@{}", entry.id, entry.born);
         let error = match front.verify(upstream).await {
             // The upstream still accepts connections: it lost an answer but did not crash.
-            Verdict::Up(Opened { conn, is_proven, .. }) => {
-                return upstream.release(conn, is_proven, None, front.clock.now());
+            Verdict::Up(Opened { conn, proof, .. }) => {
+                return upstream.release(conn, proof, None, front.clock.now());
             }
             Verdict::PathLost => {
                 info!(front.log, "connection lost with the path";
--- a/crates/front/src/fleet.rs
+++ b/crates/front/src/fleet.rs
@@ -9,6 +9,7 @@
 use route::prefix;
 
 use crate::params::Params;
+use crate::proof::{Listing, Proof};
 use crate::upstream::{Entry, Upstream};
 
 /// Expected duration of a plain request at a slowness of 1.
@@ -58,6 +59,10 @@
     version: Cell<u64>,
     /// When the list was last known to be complete; `None` while the store does not answer.
     confirmed_at: Cell<Option<Duration>>,
+    /// When the list was last known to be complete, also in an outage of the store since.
+    last_confirmed_at: Cell<Option<Duration>>,
+    /// The same before the latest read of the list, whose changes are still to be applied.
+    previous_confirmed_at: Cell<Option<Duration>>,
 }
 
 impl Fleet {
@@ -72,6 +77,8 @@
             brittle_limits: RefCell::default(),
             version: Cell::new(0),
             confirmed_at: Cell::default(),
+            last_confirmed_at: Cell::default(),
+            previous_confirmed_at: Cell::default(),
         }
     }
 
@@ -81,9 +88,13 @@
         self.version.get()
     }
 
-    /// Notes that the list is complete, or that it is unknown whether it is.
+    /// Notes that the list is complete once the changes that were read are applied, or that it is
+    /// unknown whether it is.
     pub fn set_confirmed(&self, at: Option<Duration>) {
         self.confirmed_at.set(at);
+        if at.is_some() {
+            self.previous_confirmed_at.set(self.last_confirmed_at.replace(at));
+        }
     }
 
     /// Returns true if no upstream can have been listed anew without being known here.
@@ -92,17 +103,34 @@
         self.confirmed_at.get().is_some_and(|at| now < at + LIST_VALIDITY)
     }
 
-    /// Returns true if a new connection leads certainly to the listed incarnation of an upstream.
+    /// Returns true unless something shows that an upstream may have started again.
+    ///
+    /// An entry may be late, so this alone does not prove the incarnation; see [`Proof`].
     #[must_use]
-    pub fn proves_connection(&self, upstream: &Upstream, now: Duration) -> bool {
+    pub fn is_likely_as_listed(&self, upstream: &Upstream, now: Duration) -> bool {
         self.is_current(now) && upstream.is_as_listed(now)
     }
 
-    /// Returns true if a later incarnation is listed under the id of an upstream.
+    /// Returns what shows that a connection opened just before `now` leads to the listed incarnation.
+    #[must_use]
+    pub fn proof_of_new(&self, upstream: &Upstream, now: Duration) -> Proof {
+        Proof { opened_at: now, is_likely: self.is_likely_as_listed(upstream, now) }
+    }
+
+    /// Returns what the list has shown of this incarnation of an upstream.
     #[must_use]
-    pub fn is_superseded(&self, upstream: &Rc<Upstream>) -> bool {
-        let upstreams = self.upstreams.borrow();
-        upstreams.get(&upstream.entry.id).is_some_and(|listed| !Rc::ptr_eq(listed, upstream))
+    pub fn listing(&self, upstream: &Upstream) -> Listing {
+        Listing {
+            confirmed_at: self.last_confirmed_at.get(),
+            ended_at: upstream.ended_at.get(),
+            stated_at: upstream.stated_at.get(),
+        }
+    }
+
+    /// Returns true if a connection certainly leads to this incarnation of an upstream.
+    #[must_use]
+    pub fn is_certain(&self, upstream: &Upstream, proof: Proof) -> bool {
+        proof.is_certain(self.listing(upstream))
     }
 
     /// Returns all listed upstreams, in no particular order.
@@ -197,7 +225,7 @@
                     || (entry.born > 0 && known.leaving.get());
                 return known.leaving.replace(is_leaving) != is_leaving;
             }
-            known.leaving.set(true);
+            self.end(known);
         }
         let id = Arc::clone(&entry.id);
         upstreams.insert(id, Rc::new(Upstream::open(entry.clone(), 1.0)));
@@ -207,11 +235,17 @@
     fn remove(&self, id: &UpstreamId) -> bool {
         let removed = self.upstreams.borrow_mut().remove(id);
         if let Some(known) = &removed {
-            known.leaving.set(true);
+            self.end(known);
         }
         removed.is_some()
     }
 
+    /// Notes that an incarnation is no longer listed; it was at the previous read of the list.
+    fn end(&self, upstream: &Upstream) {
+        upstream.leaving.set(true);
+        upstream.ended_at.set(Some(self.previous_confirmed_at.get().unwrap_or_default()));
+    }
+
     fn rebuild_service_index(&self) {
         let mut by_service: HashMap<ServiceId, Vec<Rc<Upstream>>> = HashMap::new();
         for upstream in self.upstreams.borrow().values() {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -2,8 +2,9 @@
 //!
 //! A request passes these steps, each in its own module: [`listener`] reads its head, [`serve`]
 //! reads its body, finds its route and client account and reserves tokens, [`dispatch`] sends it to
-//! an upstream over a connection of [`connect`], [`relay`] returns the answer. [`fleet`] holds the upstreams and [`roster`] the
-//! other instances. [`Codec`] hides the names of a deployment's header fields.
+//! an upstream over a connection of [`connect`], [`relay`] returns the answer. [`fleet`] holds the
+//! upstreams and [`roster`] the other instances. [`proof`] tells which incarnation a connection
+//! leads to. [`Codec`] hides the names of a deployment's header fields.
 //!
 //! All of this runs on one thread, because an instance has only a part of one core.
 
@@ -15,6 +16,7 @@
 pub mod listener;
 pub mod metric;
 pub mod params;
+pub mod proof;
 pub mod refusal;
 pub mod relay;
 pub mod roster;
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -429,6 +429,7 @@
 
     /// Writes all complete events that the caller lacks, together as one chunk.
     async fn write_events(&mut self, conn: &mut Conn, keep_open: bool) -> Result<(), Interruption> {
+        self.call.review_origin();
         let mut chunk = BytesMut::new();
         let mut count = 0;
         let events_before = self.answer_events;
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -15,6 +15,7 @@
 use tokio::sync::Notify;
 
 use crate::params::{Params, Part};
+use crate::proof::Proof;
 
 new_key_type! {
     /// Key of a request in flight at an upstream.
@@ -71,8 +72,8 @@
 #[derive(Debug)]
 struct Idle {
     conn: Conn,
-    /// Whether the connection certainly leads to the listed incarnation.
-    is_proven: bool,
+    /// What shows that the connection leads to this incarnation.
+    proof: Proof,
     expires_at: Duration,
 }
 
@@ -111,6 +112,12 @@
     ejection: Cell<(Duration, Duration)>,
     /// When a connect was last refused, which shows that the listed incarnation may have ended.
     refused_at: Cell<Option<Duration>>,
+    /// When the list last showed this incarnation before it ended; `None` while it is listed.
+    pub ended_at: Cell<Option<Duration>>,
+    /// When the upstream last stated that it is this incarnation; `None` if it never did.
+    pub stated_at: Cell<Option<Duration>>,
+    /// Whether the upstream was asked for its incarnation and cannot state it.
+    pub is_mute: Cell<bool>,
     /// When bytes last arrived over a connection of this instance.
     heard_at: Cell<Duration>,
     /// When the path to the upstream was last checked.
@@ -143,6 +150,9 @@
             failure_ratio: RefCell::new(Average::open(0.0)),
             ejection: Cell::default(),
             refused_at: Cell::default(),
+            ended_at: Cell::default(),
+            stated_at: Cell::default(),
+            is_mute: Cell::new(false),
             heard_at: Cell::default(),
             checked_at: Cell::default(),
             cut_off: Notify::new(),
@@ -328,23 +338,26 @@
         self.refused_at.get().is_none_or(|at| now >= at + REFUSAL_DOUBT)
     }
 
-    /// Returns true if an idle connection leads certainly to the listed incarnation.
+    /// Returns true if there is an idle connection that `admits` accepts by its proof.
     #[must_use]
-    pub fn has_proven_idle(&self, now: Duration) -> bool {
-        self.idle.borrow().iter().any(|idle| idle.is_proven && now < idle.expires_at)
+    pub fn has_idle(&self, admits: impl Fn(Proof) -> bool, now: Duration) -> bool {
+        self.idle.borrow().iter().any(|idle| admits(idle.proof) && now < idle.expires_at)
     }
 
-    /// Removes an idle connection that is still open from the pool and returns it.
+    /// Removes an idle connection that is still open from the pool and returns it with its proof.
     ///
-    /// The flag tells whether it leads certainly to the listed incarnation; `only_proven` leaves
-    /// other connections in the pool.
+    /// Those that `admits` does not accept stay in the pool.
     #[must_use]
-    pub fn acquire_idle(&self, only_proven: bool, now: Duration) -> Option<(Conn, bool)> {
+    pub fn acquire_idle(
+        &self,
+        admits: impl Fn(Proof) -> bool,
+        now: Duration,
+    ) -> Option<(Conn, Proof)> {
         let mut idle = self.idle.borrow_mut();
-        while let Some(index) = idle.iter().rposition(|idle| idle.is_proven || !only_proven) {
-            let Idle { mut conn, is_proven, expires_at } = idle.remove(index);
+        while let Some(index) = idle.iter().rposition(|idle| admits(idle.proof)) {
+            let Idle { mut conn, proof, expires_at } = idle.remove(index);
             if now < expires_at && conn.is_idle() {
-                return Some((conn, is_proven));
+                return Some((conn, proof));
             }
         }
         None
@@ -352,15 +365,9 @@
 
     /// Returns a connection to the pool, unless unread bytes follow the last answer.
     ///
-    /// `is_proven` tells whether it leads certainly to the listed incarnation, `keep_alive` is the
-    /// lifetime that the upstream states, if any.
-    pub fn release(
-        &self,
-        conn: Conn,
-        is_proven: bool,
-        keep_alive: Option<Duration>,
-        now: Duration,
-    ) {
+    /// `proof` shows which incarnation it leads to, `keep_alive` is the lifetime that the upstream
+    /// states, if any.
+    pub fn release(&self, conn: Conn, proof: Proof, keep_alive: Option<Duration>, now: Duration) {
         if !conn.input.is_empty() {
             return;
         }
@@ -370,7 +377,7 @@
         }
         let expires_at =
             now + keep_alive.unwrap_or(KEEP_ALIVE_DEFAULT).saturating_sub(KEEP_ALIVE_MARGIN);
-        idle.push(Idle { conn, is_proven, expires_at });
+        idle.push(Idle { conn, proof, expires_at });
     }
 
     /// Returns when bytes last arrived over a connection of this instance.
@@ -419,8 +426,8 @@
 pub struct Flight {
     upstream: Rc<Upstream>,
     key: FlightKey,
-    /// Whether the connection certainly leads to the listed incarnation.
-    is_proven: bool,
+    /// What shows that the connection leads to this incarnation.
+    proof: Proof,
     /// Whether the connection is one of this instance.
     is_direct: bool,
 }
@@ -428,14 +435,14 @@
 impl Flight {
     /// Counts a request whose leading `cached_tokens` are assumed cached.
     ///
-    /// `is_proven` tells whether its connection leads certainly to the listed incarnation, and
-    /// `is_direct` whether it is one of this instance.
+    /// `proof` shows which incarnation its connection leads to, and `is_direct` tells whether it is
+    /// one of this instance.
     #[must_use]
     pub fn open(
         upstream: Rc<Upstream>,
         params: &Params,
         cached_tokens: Tokens,
-        is_proven: bool,
+        proof: Proof,
         is_direct: bool,
         now: Duration,
     ) -> Self {
@@ -447,7 +454,7 @@
             is_answered: false,
         };
         let key = upstream.flights.borrow_mut().insert(flight);
-        Self { upstream, key, is_proven, is_direct }
+        Self { upstream, key, proof, is_direct }
     }
 
     /// Returns the upstream that runs the request.
@@ -456,15 +463,15 @@
         &self.upstream
     }
 
-    /// Returns whether the connection certainly leads to the listed incarnation.
+    /// Returns what shows that the connection leads to this incarnation of the upstream.
     #[must_use]
-    pub fn is_proven(&self) -> bool {
-        self.is_proven
+    pub fn proof(&self) -> Proof {
+        self.proof
     }
 
     /// Returns the connection of the request to the upstream's pool.
     pub fn release(&self, conn: Conn, keep_alive: Option<Duration>, now: Duration) {
-        self.upstream.release(conn, self.is_proven, keep_alive, now);
+        self.upstream.release(conn, self.proof, keep_alive, now);
     }
 
     /// Records that an event has arrived, before which the whole prompt was processed.
--- a/crates/route/src/origin.rs
+++ b/crates/route/src/origin.rs
@@ -9,7 +9,10 @@
 //! - With several versions, the instance that relays the first event of a stream writes the version
 //!   to the table, together with those of other streams.
 //!
-//! Without either proof, the stream does not go on.
+//! - An instance that finds out that a stream may have begun at another version than it took for
+//!   proven writes a row without a version, which outweighs the other proofs.
+//!
+//! Without a proof, the stream does not go on.
 
 pub mod client;
 pub mod journal;
@@ -30,6 +33,19 @@
     /// Records the version at which a stream began; `stream` is the id of the first request.
     fn record(&self, stream: &str, service: &ServiceId, version: &SoftwareVersion);
 
+    /// Withdraws the version at which a stream began, because it may have been another one.
+    ///
+    /// When the future ends, other instances find no version for it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the table does not answer.
+    fn revoke<'a>(
+        &'a self,
+        stream: &'a str,
+        service: &'a ServiceId,
+    ) -> LocalBoxFuture<'a, Result<(), store::Error>>;
+
     /// Finds the version at which a stream began; `None` if nothing proves it.
     ///
     /// `stream` is the id of the first request, if the caller has stated it.
--- a/crates/route/src/origin/client.rs
+++ b/crates/route/src/origin/client.rs
@@ -312,6 +312,24 @@
         }
     }
 
+    fn revoke<'a>(
+        &'a self,
+        stream: &'a str,
+        service: &'a ServiceId,
+    ) -> LocalBoxFuture<'a, Result<(), Error>> {
+        let key = stream_key(service, stream);
+        let unknown = SoftwareVersion::default();
+        self.journal.borrow_mut().record(key, service, &unknown, self.clock.now());
+        async move {
+            let mut txn = Txn::default();
+            let at = self.table.now().map(millis).unwrap_or_default();
+            txn.put(row_key(key), &StreamRow { version: unknown.to_string(), at });
+            self.table.commit(txn).await?;
+            Ok(())
+        }
+        .boxed_local()
+    }
+
     fn find<'a>(
         &'a self,
         stream: Option<&'a str>,
@@ -319,23 +337,34 @@
     ) -> LocalBoxFuture<'a, Result<Option<SoftwareVersion>, Error>> {
         async move {
             let key = stream.map(|stream| stream_key(service, stream));
+            let known = |version: SoftwareVersion| Some(version).filter(|name| !name.is_empty());
             if let Some(version) = key.and_then(|key| self.journal.borrow().find(key)) {
-                return Ok(Some(version));
+                return Ok(known(version));
             }
-            if !self.journal.borrow().is_mixed(service) {
+            let find_stored = async || match key {
+                Some(key) => self.find_stored(key).await,
+                None => Ok(None),
+            };
+            let read_versions = async {
                 // Another instance may have announced a version that is not listed here yet.
-                self.read_versions().await?;
+                let is_mixed = self.journal.borrow().is_mixed(service);
+                if is_mixed { Ok(()) } else { self.read_versions().await }
+            };
+            // The row of a stream may withdraw what a sole version would prove.
+            let (versions, stored) = join(read_versions, find_stored()).await;
+            versions?;
+            if let Some(version) = stored? {
+                return Ok(known(version));
             }
             if let Some(version) = self.journal.borrow().sole_version(service) {
-                return Ok(Some(version).filter(|version| !version.is_empty()));
+                return Ok(known(version));
             }
-            let Some(key) = key else { return Ok(None) };
-            if let Some(version) = self.find_stored(key).await? {
-                return Ok(Some(version));
+            if key.is_none() {
+                return Ok(None);
             }
             // The stream may have begun just now.
             sleep(self.write_interval.get() + WRITE_TIME).await;
-            self.find_stored(key).await
+            Ok(find_stored().await?.and_then(known))
         }
         .boxed_local()
     }
