Relay no answer without an upstream's signature

Cause: any answer below 500 without a signature was relayed, except for successes, so that callers took the 404 of another server for an engine's; an unsigned 503 or 429 promised that the request had not run.

Change: unsigned answers are failed attempts with an unknown outcome, except for refusals of the protocol (421, Not-Executed) and, from an incarnation that has signed an answer before, 5xx other than 503. What has never signed one is avoided for 10 s, and its statements are ignored.

--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -39,6 +39,8 @@
 const ATTEMPT_TIME_RATIO: f64 = 0.45;
 /// Lowest status that counts as a failure of the upstream.
 const MIN_FAILURE_STATUS: u16 = 500;
+/// Status that promises that the request has not run.
+const UNAVAILABLE: u16 = 503;
 /// Status with which an upstream refuses a request for another upstream.
 const MISDIRECTED: u16 = 421;
 /// Bounds of one slowness sample, so that an outlier does not dominate the average.
@@ -142,6 +144,9 @@
     /// The head of the answer did not arrive in time.
     #[error("silent")]
     Timeout,
+    /// The answer lacks the upstream's signature, so that something else may have written it.
+    #[error("unsigned: {0}")]
+    Unsigned(u16),
     /// The upstream answered with a status that is a failure.
     #[error("failed: {0}")]
     ServerError(u16),
@@ -556,8 +561,8 @@
                 return Err(Failure::Timeout);
             }
         };
-        if (200..300).contains(&head.status) && !metadata.is_signed {
-            return Err(Failure::Exchange(h1::Error::Malformed("a success without a signature")));
+        if !is_answer_of_upstream(upstream, head.status, &metadata) {
+            return Err(Failure::Unsigned(head.status));
         }
         let now = front.clock.now();
         flight.record_answered(now);
@@ -601,10 +606,14 @@
         let mut is_first = true;
         for _ in 0..MAX_STALE_ANSWERS {
             let metadata = self.front.codec.decode_response(&head, &self.params);
-            if head.status != MISDIRECTED {
+            let is_known = metadata.is_signed || metadata.is_not_run || upstream.has_signed.get();
+            if head.status != MISDIRECTED && is_known {
                 self.apply_statement(upstream, &metadata);
             }
-            if metadata.matches_request {
+            // Something that is no upstream need not repeat the id of the request.
+            let is_stranger =
+                !metadata.is_signed && !metadata.is_not_run && !upstream.has_signed.get();
+            if metadata.matches_request || is_stranger {
                 let is_reusable = is_whole && is_first && head.keep_alive;
                 return Ok((head, metadata, is_reusable));
             }
@@ -662,9 +671,14 @@
             }
             // Another upstream uses the address now.
             Failure::NotRun(MISDIRECTED) => upstream.eject(now),
+            // Something that is no upstream may use the address.
+            Failure::Unsigned(_) if !upstream.has_signed.get() => upstream.eject_stranger(now),
             // The upstream is full, and its answer has reported its load, or the fault is not its own.
             Failure::NotRun(_) | Failure::Unproven(_) | Failure::NoPath | Failure::PathLost => {}
-            Failure::Exchange(_) | Failure::Timeout | Failure::ServerError(_) => {
+            Failure::Exchange(_)
+            | Failure::Timeout
+            | Failure::Unsigned(_)
+            | Failure::ServerError(_) => {
                 upstream.record_failure(now);
             }
         }
@@ -763,6 +777,20 @@
     }
 }
 
+/// Returns true if an answer comes from the upstream itself, and notes that it signs its answers.
+///
+/// Refusals of the protocol carry no signature. All other answers that a run has produced do; an
+/// upstream that has signed others may fail before a run. A 503 without a statement that the request
+/// has not run must not be passed on, since it would promise that.
+fn is_answer_of_upstream(upstream: &Upstream, status: u16, metadata: &Metadata) -> bool {
+    if metadata.is_signed {
+        upstream.has_signed.set(true);
+    }
+    let is_own_failure =
+        status >= MIN_FAILURE_STATUS && status != UNAVAILABLE && upstream.has_signed.get();
+    metadata.is_signed || metadata.is_not_run || is_own_failure
+}
+
 impl Answer {
     /// Records the time since the request was sent, divided by the expected time.
     pub fn record_slowness(&self, now: Duration) {
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -36,6 +36,10 @@
 const CACHED_PARTS_PRUNE_THRESHOLD: usize = 2_048;
 /// Duration of the first ejection; each further one is twice as long.
 const MIN_EJECTION: Duration = Duration::from_millis(500);
+/// Duration of the ejection of what has answered without a signature and never with one.
+///
+/// It protects requests that must not be repeated from something that is no upstream.
+const STRANGER_EJECTION: Duration = Duration::from_secs(10);
 /// Duration of the longest ejection.
 const MAX_EJECTION: Duration = Duration::from_secs(4);
 
@@ -99,6 +103,8 @@
     paused_until: Cell<Duration>,
     throttle: Cell<Throttle>,
     brittle: RefCell<Brittle>,
+    /// Whether the upstream has signed an answer, which only upstreams can.
+    pub has_signed: Cell<bool>,
     /// Whether an answer of the upstream has stated that it leaves.
     pub has_stated_leaving: Cell<bool>,
     flights: RefCell<SlotMap<FlightKey, InFlight>>,
@@ -141,6 +147,7 @@
             paused_until: Cell::default(),
             throttle: Cell::default(),
             brittle: RefCell::default(),
+            has_signed: Cell::new(false),
             has_stated_leaving: Cell::new(false),
             entry,
             flights: RefCell::default(),
@@ -327,6 +334,13 @@
         self.close_idle();
     }
 
+    /// Excludes the upstream from selection, because its answer shows that it may be something else.
+    pub fn eject_stranger(&self, now: Duration) {
+        self.record_failure(now);
+        self.ejection.set((now + STRANGER_EJECTION, MAX_EJECTION));
+        self.close_idle();
+    }
+
     /// Notes that the upstream has refused a connect.
     pub fn record_refusal(&self, now: Duration) {
         self.refused_at.set(Some(now));
