--- a/crates/front/src/connect.rs
+++ b/crates/front/src/connect.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 
 use base::prelude::*;
-use h1::Conn;
+use h1::{Conn, Traffic};
 use route::path::{Path, Plan, State};
 use slog::{info, warn};
 use thiserror::Error;
@@ -86,7 +86,9 @@
         let now = self.clock.now();
         let plan = self.with_path(service, |path| path.plan(&upstream.entry.id, now));
         let connect_timeout = CONNECT_TIMEOUT.min(time_left);
-        let Some(tunnels) = &self.tunnels else {
+        // A tunnel would pass a full link twice.
+        let tunnels = self.tunnels.as_ref().filter(|_| !self.is_congested());
+        let Some(tunnels) = tunnels else {
             return Ok(self.connect_directly(upstream, connect_timeout).await?);
         };
         match plan {
@@ -222,8 +224,20 @@
         upstream: &Upstream,
         connect_timeout: Duration,
     ) -> io::Result<Opened> {
+        let began = self.clock.now();
         let opened =
             Conn::open(upstream.entry.address, connect_timeout, self.unacked_timeout).await;
+        let ended = self.clock.now();
+        match &opened {
+            Ok(_) => {
+                let time = ended.saturating_sub(began);
+                self.gate.borrow_mut().record_connect(Some(time), ended);
+            }
+            Err(error) if error.kind() == ErrorKind::TimedOut => {
+                self.gate.borrow_mut().record_connect(None, ended);
+            }
+            Err(_) => {}
+        }
         self.record_connect(upstream, &opened);
         let proof = self.fleet.proof_of_new(upstream, self.clock.now());
         Ok(Opened { conn: opened?, proof, is_tunnel: false })
@@ -264,6 +278,11 @@
         }
     }
 
+    /// Returns true while the own network link is full, so that time-outs prove nothing.
+    pub(crate) fn is_congested(&self) -> bool {
+        self.gate.borrow_mut().is_congested(Traffic::total(), self.clock.now())
+    }
+
     /// Notes that no instance that was asked has a path to a service.
     pub(crate) fn record_no_exit(&self, service: &ServiceId) {
         let now = self.clock.now();
@@ -368,6 +387,10 @@
         if error.kind() == ErrorKind::ConnectionRefused {
             upstream.record_refusal(now);
         }
+        // The packets of the connect may wait in the full link of this instance.
+        if error.kind() == ErrorKind::TimedOut && self.is_congested() {
+            return;
+        }
         let upstream_count = self.fleet.service_size(&entry.service);
         self.with_path(&entry.service, |path| {
             if path.record_failure(&entry.id, upstream_count, now) {
