--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -18,9 +18,10 @@
 use tokio::time::timeout;
 
 use crate::codec::{Metadata, Outbound, Statement};
-use crate::connect::{self, Opened, Verdict};
+use crate::connect::{self, Doubt, Opened, Origin, Verdict};
 use crate::fleet::Selection;
 use crate::memory::Holder;
+use crate::proof::Proof;
 use crate::upstream::{Entry, Flight, Upstream};
 use crate::{Front, Params, Refusal};
 
@@ -42,6 +43,8 @@
 const ATTEMPT_TIME_RATIO: f64 = 0.45;
 /// Lowest status that counts as a failure of the upstream.
 const MIN_FAILURE_STATUS: u16 = 500;
+/// Status that promises that the request has not run.
+const UNAVAILABLE: u16 = 503;
 /// Status with which an upstream refuses a request for another upstream.
 const MISDIRECTED: u16 = 421;
 /// Bounds of one slowness sample, so that an outlier does not dominate the average.
@@ -95,6 +98,8 @@
     is_trial: bool,
     /// Where the stream may go on; always free for requests that no other upstream resumes.
     pub continuation: Continuation,
+    /// Upstream that wrote the first event and what proves its incarnation, while both may be wrong.
+    begun_at: Option<(Rc<Upstream>, Proof)>,
     tried_upstreams: Vec<UpstreamId>,
     /// Time of the first attempt; `None` before it.
     first_sent_at: Option<Duration>,
@@ -131,8 +136,8 @@
 #[derive(Debug, Error)]
 enum Failure {
     /// The upstream may be a later incarnation than listed; nothing was sent.
-    #[error("incarnation unknown")]
-    Unproven,
+    #[error("incarnation unknown: {0}")]
+    Unproven(Doubt),
     /// No connection could be opened, or the upstream is leaving; nothing was sent.
     #[error("no connection: {0}")]
     Connect(std::io::Error),
@@ -157,11 +162,24 @@
     /// The head of the answer did not arrive in time.
     #[error("silent")]
     Timeout,
+    /// The answer lacks the upstream's signature, so that something else may have written it.
+    #[error("unsigned: {0}")]
+    Unsigned(u16),
     /// The upstream answered with a status that is a failure.
     #[error("failed: {0}")]
     ServerError(u16),
 }
 
+impl From<connect::Error> for Failure {
+    fn from(error: connect::Error) -> Self {
+        match error {
+            connect::Error::Upstream(error) => Self::Connect(error),
+            connect::Error::Path => Self::NoPath,
+            connect::Error::Unproven(doubt) => Self::Unproven(doubt),
+        }
+    }
+}
+
 impl Call {
     /// Opens the call of an admitted request and selects its service.
     #[expect(clippy::too_many_arguments, reason = "each is the result of another step")]
@@ -181,14 +199,9 @@
         let request_hash =
             prefix::mix(prefix::extend_hash(prefix::mix(3), params.stream_id().as_bytes()));
         let service = route.pick_service(request_hash).map_or_else(|| "".into(), Arc::clone);
-        let request_id = suspect::request_id(
-            &service,
-            account.as_deref().unwrap_or_default(),
-            &head.target,
-            &body,
-        );
-        let mut suspects = vec![request_id];
-        suspects.extend(params.shared_part_ids(&service));
+        let account_name = account.as_deref().unwrap_or_default();
+        let mut suspects = vec![suspect::request_id(account_name, &head.target, &body)];
+        suspects.extend(params.shared_part_ids());
         let output_tokens = front.fleet.expected_output(&route.name, account.as_ref(), &params);
         let time_limit = params.timeout.map_or(route.timeout, |time| time.min(route.timeout));
         Self {
@@ -208,6 +221,7 @@
             suspects,
             is_trial: false,
             continuation: Continuation::Free,
+            begun_at: None,
             tried_upstreams: Vec::new(),
             first_sent_at: None,
             last_sent_at: Duration::ZERO,
@@ -241,11 +255,12 @@
         if self.front.fleet.is_service_evacuated(&self.service) {
             return Err(self.unavailable_refusal());
         }
-        match self.front.suspects.admit(&self.suspects).await {
+        match self.front.suspects.admit(&self.service, &self.suspects).await {
             Admission::Granted => {}
             Admission::Trial => self.is_trial = true,
             Admission::Refused => return Err(self.poison_refusal()),
         }
+        self.prove_origin().await;
         let mut failed_connects = 0;
         loop {
             let time_left = self.time_left();
@@ -300,7 +315,7 @@
             if matches!(failure, Failure::Evacuated | Failure::Cold) {
                 continue;
             }
-            if matches!(failure, Failure::Connect(_) | Failure::Unproven) {
+            if matches!(failure, Failure::Connect(_) | Failure::Unproven(_)) {
                 failed_connects += 1;
                 if failed_connects >= MAX_CONNECT_FAILURES {
                     self.front.record_no_exit(&self.service);
@@ -311,7 +326,7 @@
             self.may_have_run |= !matches!(failure, Failure::NotRun(_));
             if let Failure::Exchange(error) = &failure {
                 self.detect_crash(&selection.upstream, error, false).await;
-                if self.front.suspects.is_refused(&self.suspects) {
+                if self.front.suspects.is_refused(&self.service, &self.suspects) {
                     return Err(self.poison_refusal());
                 }
             }
@@ -349,8 +364,8 @@
             Continuation::Free => select(&|_| true),
             Continuation::Version(version) => select(&|upstream| {
                 upstream.entry.version == *version
-                    && (front.fleet.proves_connection(upstream, now)
-                        || upstream.has_proven_idle(now))
+                    && (front.fleet.is_likely_as_listed(upstream, now)
+                        || upstream.has_idle(|proof| front.fleet.is_certain(upstream, proof), now))
             }),
             Continuation::Impossible => None,
         }
@@ -396,13 +411,15 @@
         }
         let upstream = flight.upstream();
         let version = &upstream.entry.version;
-        let is_proven = flight.is_proven() && !self.front.fleet.is_superseded(upstream);
+        let listing = self.front.fleet.listing(upstream);
         match &self.continuation {
-            Continuation::Free if is_proven && !version.is_empty() => {
+            Continuation::Free if flight.proof().is_likely(listing) && !version.is_empty() => {
                 self.continuation = Continuation::Version(Arc::clone(version));
+                self.begun_at = Some((Rc::clone(upstream), flight.proof()));
             }
             Continuation::Free => self.continuation = Continuation::Impossible,
-            Continuation::Version(first) if is_proven && first == version => {}
+            Continuation::Version(first)
+                if flight.proof().is_certain(listing) && first == version => {}
             Continuation::Version(_) | Continuation::Impossible => return false,
         }
         if let Continuation::Version(version) = &self.continuation {
@@ -411,6 +428,49 @@
         true
     }
 
+    /// Withdraws the version at which the stream began if the list has shown that it was wrong.
+    ///
+    /// The upstream may have started again just before the stream began, and its entry was late.
+    pub fn review_origin(&mut self) {
+        let is_wrong = self
+            .begun_at
+            .as_ref()
+            .is_some_and(|(upstream, proof)| !proof.is_likely(self.front.fleet.listing(upstream)));
+        if is_wrong {
+            ntex::rt::spawn(self.withdraw_origin());
+        }
+    }
+
+    /// Makes sure of the version at which the stream began, before it goes on elsewhere.
+    async fn prove_origin(&mut self) {
+        let Some((upstream, proof)) = self.begun_at.clone() else { return };
+        let request = &self.params.request_id;
+        let finding = self.front.find_incarnation(&upstream, proof, request, self.time_left());
+        match finding.await {
+            Origin::Certain => self.begun_at = None,
+            Origin::Likely => {}
+            // The caller must not take the stream up at another instance before the row is written.
+            Origin::Unknown => self.withdraw_origin().await,
+        }
+    }
+
+    /// Withdraws the version at which the stream began; the future tells the other instances.
+    fn withdraw_origin(&mut self) -> impl Future<Output = ()> + use<> {
+        let begun_at = self.begun_at.take();
+        self.continuation = Continuation::Impossible;
+        let front = Rc::clone(&self.front);
+        let (stream, service) = (Arc::clone(self.params.stream_id()), Arc::clone(&self.service));
+        info!(front.log, "origin of a stream withdrawn";
+            "request" => self.params.request_id.as_ref(), "stream" => stream.as_ref(),
+            "upstream" => begun_at.as_ref().map(|(upstream, _)| upstream.entry.id.to_string()));
+        async move {
+            let revoking = front.origins.revoke(&stream, &service);
+            if !matches!(timeout(ORIGIN_TIMEOUT, revoking).await, Ok(Ok(()))) {
+                info!(front.log, "withdrawal of an origin not written"; "stream" => stream.as_ref());
+            }
+        }
+    }
+
     /// Returns true, and consumes a retry, if another upstream may get the request.
     fn may_send_again(&self, failure: &Failure) -> bool {
         let is_safe = matches!(failure, Failure::NotRun(_)) || self.route.kind.is_repeatable();
@@ -430,7 +490,8 @@
 
     /// Returns true, and consumes a retry, if an interrupted answer may be resumed.
     #[must_use]
-    pub fn may_resume(&self) -> bool {
+    pub fn may_resume(&mut self) -> bool {
+        self.review_origin();
         self.can_go_on() && self.consume_retry()
     }
 
@@ -459,12 +520,12 @@
 
     /// Clears the prompt parts of suspicion, because the answer to the request has begun.
     pub fn record_begun_answer(&self) {
-        self.front.suspects.record_answer(&self.suspects[1..]);
+        self.front.suspects.record_answer(&self.service, &self.suspects[1..]);
     }
 
     /// Clears the request and its prompt parts of suspicion, because its answer is complete.
     pub fn record_whole_answer(&self) {
-        self.front.suspects.record_answer(&self.suspects);
+        self.front.suspects.record_answer(&self.service, &self.suspects);
     }
 
     async fn attempt(
@@ -480,23 +541,18 @@
         if upstream.has_lost_idle(now) {
             front.record_loss(upstream, "idle connections closed");
         }
-        let idle = upstream.acquire_idle(needs_proof, now);
+        let admits = |proof| !needs_proof || front.fleet.is_certain(upstream, proof);
+        let idle = upstream.acquire_idle(admits, now);
         let is_reused = idle.is_some();
-        let opened = if let Some((conn, is_proven)) = idle {
-            Opened { conn, is_proven, is_tunnel: false }
+        let opened = if let Some((conn, proof)) = idle {
+            Opened { conn, proof, is_tunnel: false }
+        } else if needs_proof {
+            let request = &self.params.request_id;
+            front.connect_proven(upstream, request, time_left).await.map_err(Failure::from)?
         } else {
-            if needs_proof && !front.fleet.proves_connection(upstream, now) {
-                return Err(Failure::Unproven);
-            }
-            front.connect(upstream, time_left).await.map_err(|error| match error {
-                connect::Error::Upstream(error) => Failure::Connect(error),
-                connect::Error::Path => Failure::NoPath,
-            })?
+            front.connect(upstream, time_left).await.map_err(Failure::from)?
         };
-        let Opened { mut conn, is_proven, is_tunnel } = opened;
-        if needs_proof && !is_proven {
-            return Err(Failure::Unproven);
-        }
+        let Opened { mut conn, proof, is_tunnel } = opened;
         if upstream.leaving.get() {
             return Err(Failure::Connect(ErrorKind::NotConnected.into()));
         }
@@ -507,7 +563,7 @@
         let now = front.clock.now();
         if !front.admits_cold(upstream, now) {
             if !is_tunnel {
-                upstream.release(conn, is_proven, None, now);
+                upstream.release(conn, proof, None, now);
             }
             return Err(Failure::Cold);
         }
@@ -518,8 +574,7 @@
         self.sent_count += 1;
         self.last_selection = Some(selection.clone());
         let sent_at = front.clock.now();
-        let flight =
-            Flight::open(Rc::clone(upstream), selection.work, is_proven, !is_tunnel, sent_at);
+        let flight = Flight::open(Rc::clone(upstream), selection.work, proof, !is_tunnel, sent_at);
         let message = self.encode_request(upstream, last_event_id);
         let may_send_more =
             self.route.kind.is_repeatable() && self.sent_count < self.route.max_attempts;
@@ -547,8 +602,8 @@
                 return Err(Failure::Timeout);
             }
         };
-        if (200..300).contains(&head.status) && !metadata.is_signed {
-            return Err(Failure::Exchange(h1::Error::Malformed("a success without a signature")));
+        if !is_answer_of_upstream(upstream, head.status, &metadata) {
+            return Err(Failure::Unsigned(head.status));
         }
         let now = front.clock.now();
         flight.record_answered(now);
@@ -593,10 +648,14 @@
         let mut is_first = true;
         for _ in 0..MAX_STALE_ANSWERS {
             let metadata = self.front.codec.decode_response(&head, &self.params);
-            if head.status != MISDIRECTED {
+            let is_known = metadata.is_signed || metadata.is_not_run || upstream.has_signed.get();
+            if head.status != MISDIRECTED && is_known {
                 self.apply_statement(upstream, &metadata);
             }
-            if metadata.matches_request {
+            // Something that is no upstream need not repeat the id of the request.
+            let is_stranger =
+                !metadata.is_signed && !metadata.is_not_run && !upstream.has_signed.get();
+            if metadata.matches_request || is_stranger {
                 let is_reusable = is_whole && is_first && head.keep_alive;
                 return Ok((head, metadata, is_reusable));
             }
@@ -661,14 +720,19 @@
             }
             // Another upstream uses the address now.
             Failure::NotRun(MISDIRECTED) => upstream.eject(now),
+            // Something that is no upstream may use the address.
+            Failure::Unsigned(_) if !upstream.has_signed.get() => upstream.eject_stranger(now),
             // The upstream is full, and its answer has reported its load, or the fault is not its own.
             Failure::NotRun(_)
-            | Failure::Unproven
+            | Failure::Unproven(_)
             | Failure::Evacuated
             | Failure::Cold
             | Failure::NoPath
             | Failure::PathLost => {}
-            Failure::Exchange(_) | Failure::Timeout | Failure::ServerError(_) => {
+            Failure::Exchange(_)
+            | Failure::Timeout
+            | Failure::Unsigned(_)
+            | Failure::ServerError(_) => {
                 upstream.record_failure(now);
             }
         }
@@ -693,8 +757,8 @@
         front.record_loss(upstream, "connection lost");
         let error = match front.verify(upstream).await {
             // The upstream still accepts connections: it lost an answer but did not crash.
-            Verdict::Up(Opened { conn, is_proven, .. }) => {
-                return upstream.release(conn, is_proven, None, front.clock.now());
+            Verdict::Up(Opened { conn, proof, .. }) => {
+                return upstream.release(conn, proof, None, front.clock.now());
             }
             Verdict::PathLost => {
                 info!(front.log, "connection lost with the path";
@@ -714,6 +778,7 @@
         let count = if has_begun { 1 } else { self.suspects.len() };
         let suspects = self.suspects.iter().zip(sent_at).take(count);
         front.suspects.record_crash(&Crash {
+            service: Arc::clone(&self.service),
             suspects: suspects
                 .map(|(id, sent_at)| Suspect { id: *id, sent_before: now.saturating_sub(sent_at) })
                 .collect(),
@@ -778,6 +843,20 @@
     Refusal::not_run(503, "evacuated").retry_after(EVACUATED_RETRY)
 }
 
+/// Returns true if an answer comes from the upstream itself, and notes that it signs its answers.
+///
+/// Refusals of the protocol carry no signature. All other answers that a run has produced do; an
+/// upstream that has signed others may fail before a run. A 503 without a statement that the request
+/// has not run must not be passed on, since it would promise that.
+fn is_answer_of_upstream(upstream: &Upstream, status: u16, metadata: &Metadata) -> bool {
+    if metadata.is_signed {
+        upstream.has_signed.set(true);
+    }
+    let is_own_failure =
+        status >= MIN_FAILURE_STATUS && status != UNAVAILABLE && upstream.has_signed.get();
+    metadata.is_signed || metadata.is_not_run || is_own_failure
+}
+
 impl Answer {
     /// Records the time since the request was sent, divided by the expected time.
     pub fn record_slowness(&self, now: Duration) {
--- a/crates/front/src/fleet.rs
+++ b/crates/front/src/fleet.rs
@@ -12,6 +12,7 @@
 
 use crate::evacuation::Evacuations;
 use crate::params::Params;
+use crate::proof::{Listing, Proof};
 use crate::upstream::{Demand, Entry, Upstream};
 
 /// Expected duration of a plain request at a slowness of 1.
@@ -84,6 +85,10 @@
     confirmed_at: Cell<Option<Duration>>,
     /// Failure domains whose upstreams get no requests.
     pub evacuations: Evacuations,
+    /// When the list was last known to be complete, also in an outage of the store since.
+    last_confirmed_at: Cell<Option<Duration>>,
+    /// The same before the latest read of the list, whose changes are still to be applied.
+    previous_confirmed_at: Cell<Option<Duration>>,
 }
 
 impl Fleet {
@@ -105,6 +110,8 @@
             version: Cell::new(0),
             confirmed_at: Cell::default(),
             evacuations: Evacuations::default(),
+            last_confirmed_at: Cell::default(),
+            previous_confirmed_at: Cell::default(),
         }
     }
 
@@ -114,9 +121,13 @@
         self.version.get()
     }
 
-    /// Notes that the list is complete, or that it is unknown whether it is.
+    /// Notes that the list is complete once the changes that were read are applied, or that it is
+    /// unknown whether it is.
     pub fn set_confirmed(&self, at: Option<Duration>) {
         self.confirmed_at.set(at);
+        if at.is_some() {
+            self.previous_confirmed_at.set(self.last_confirmed_at.replace(at));
+        }
     }
 
     /// Returns true if no upstream can have been listed anew without being known here.
@@ -125,17 +136,34 @@
         self.confirmed_at.get().is_some_and(|at| now < at + LIST_VALIDITY)
     }
 
-    /// Returns true if a new connection leads certainly to the listed incarnation of an upstream.
+    /// Returns true unless something shows that an upstream may have started again.
+    ///
+    /// An entry may be late, so this alone does not prove the incarnation; see [`Proof`].
     #[must_use]
-    pub fn proves_connection(&self, upstream: &Upstream, now: Duration) -> bool {
+    pub fn is_likely_as_listed(&self, upstream: &Upstream, now: Duration) -> bool {
         self.is_current(now) && upstream.is_as_listed(now)
     }
 
-    /// Returns true if a later incarnation is listed under the id of an upstream.
+    /// Returns what shows that a connection opened just before `now` leads to the listed incarnation.
+    #[must_use]
+    pub fn proof_of_new(&self, upstream: &Upstream, now: Duration) -> Proof {
+        Proof { opened_at: now, is_likely: self.is_likely_as_listed(upstream, now) }
+    }
+
+    /// Returns what the list has shown of this incarnation of an upstream.
     #[must_use]
-    pub fn is_superseded(&self, upstream: &Rc<Upstream>) -> bool {
-        let upstreams = self.upstreams.borrow();
-        upstreams.get(&upstream.entry.id).is_some_and(|listed| !Rc::ptr_eq(listed, upstream))
+    pub fn listing(&self, upstream: &Upstream) -> Listing {
+        Listing {
+            confirmed_at: self.last_confirmed_at.get(),
+            ended_at: upstream.ended_at.get(),
+            stated_at: upstream.stated_at.get(),
+        }
+    }
+
+    /// Returns true if a connection certainly leads to this incarnation of an upstream.
+    #[must_use]
+    pub fn is_certain(&self, upstream: &Upstream, proof: Proof) -> bool {
+        proof.is_certain(self.listing(upstream))
     }
 
     /// Returns all listed upstreams, in no particular order.
@@ -308,7 +336,7 @@
                     || (entry.born > 0 && known.leaving.get());
                 return known.leaving.replace(is_leaving) != is_leaving;
             }
-            known.leaving.set(true);
+            self.end(known);
         }
         let id = Arc::clone(&entry.id);
         let mut rates = self.rates.borrow_mut();
@@ -320,11 +348,17 @@
     fn remove(&self, id: &UpstreamId) -> bool {
         let removed = self.upstreams.borrow_mut().remove(id);
         if let Some(known) = &removed {
-            known.leaving.set(true);
+            self.end(known);
         }
         removed.is_some()
     }
 
+    /// Notes that an incarnation is no longer listed; it was at the previous read of the list.
+    fn end(&self, upstream: &Upstream) {
+        upstream.leaving.set(true);
+        upstream.ended_at.set(Some(self.previous_confirmed_at.get().unwrap_or_default()));
+    }
+
     fn rebuild_service_index(&self) {
         let mut by_service: HashMap<ServiceId, Vec<Rc<Upstream>>> = HashMap::new();
         for upstream in self.upstreams.borrow().values() {
--- a/crates/front/tests/gate.rs
+++ b/crates/front/tests/gate.rs
@@ -77,7 +77,7 @@
 #[test]
 fn slow_connects_to_upstreams_close_the_gate_only_under_load() {
     let mut gate = Gate::open(LINK_BITS_PER_SECOND);
-    let now = Duration::from_secs(60);
+    let now = Duration::from_mins(1);
     (0..3).for_each(|_| gate.record_connect(None, now));
     // The path is lost or the upstreams are down: the link carries nothing.
     assert!(gate.admits(Traffic::default(), now));
