Count parts of prompts that are assumed cached as cached again

Cause: since a part that is only assumed cached counted as prefill in the queue, and 0.7 of it was assumed at the first home, requests with a prefix spread over more upstreams.

--- a/crates/front/src/fleet.rs
+++ b/crates/front/src/fleet.rs
@@ -18,7 +18,7 @@
 /// Expected duration of a plain request at a slowness of 1.
 const PLAIN_CALL_SECONDS: f64 = 0.02;
 /// Part of a prompt's shared tokens assumed cached at its first rendezvous upstream.
-const FIRST_CACHED_RATIO: f64 = 0.7;
+const FIRST_CACHED_RATIO: f64 = 0.95;
 /// Part of a prompt's shared tokens assumed cached at its second rendezvous upstream.
 const SECOND_CACHED_RATIO: f64 = 0.4;
 
@@ -482,10 +482,8 @@
         };
         let index = placement::choose(workload, &candidates, tie)?;
         let chosen = &candidates[index];
-        let known = usable[index].cached_tokens(&params.prompt_parts, &prefix_hashes, now);
         let work = params.generation.map(|generation| Work {
-            prefill_tokens: generation.prompt_tokens.saturating_sub(known),
-            doubtful_tokens: chosen.cached_tokens.saturating_sub(known),
+            prefill_tokens: generation.prompt_tokens.saturating_sub(chosen.cached_tokens),
             memory_tokens: demand.memory_tokens(chosen.cached_tokens),
             queued_tokens: chosen.queued_tokens,
             factor: chosen.factor,
--- a/crates/route/src/cost/upstream.rs
+++ b/crates/route/src/cost/upstream.rs
@@ -30,10 +30,8 @@
 /// What a generation was expected to cost at the upstream that was chosen.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Work {
-    /// Prompt tokens to prefill that are not known to be cached.
+    /// Prompt tokens to prefill that are not cached.
     pub prefill_tokens: Tokens,
-    /// Tokens of them that other instances may have caused to be cached.
-    pub doubtful_tokens: Tokens,
     /// Tokens of memory: those to prefill and the expected output.
     pub memory_tokens: Tokens,
     /// Prompt tokens that waited there before the request.
@@ -197,8 +195,7 @@
 
     /// Learns from the first event of a request.
     ///
-    /// `seconds` passed since it was sent. If it is in doubt what was cached, the time says nothing
-    /// about the speed, and is ignored.
+    /// `seconds` passed since it was sent.
     pub fn observe_first_event(
         &mut self,
         service: &mut Service,
@@ -206,9 +203,6 @@
         seconds: f64,
         now: Duration,
     ) {
-        if work.doubtful_tokens > 0 {
-            return;
-        }
         let (current, _) = self.factor(now);
         // The factor has changed while the request waited; the mean of both applied to it.
         let factor = (work.factor * current).sqrt();
--- a/crates/route/tests/cost_replay/instance.rs
+++ b/crates/route/tests/cost_replay/instance.rs
@@ -14,10 +14,7 @@
 /// Time for which an instance assumes a part to be cached after its last use, in seconds.
 const CACHE_TTL: f64 = 30.0;
 /// Parts of a shared prompt assumed cached at the first and second rendezvous upstream.
-const ASSUMED_CACHED: [f64; 2] = [0.7, 0.4];
-
-/// The same for the choice by constants, as before `route::cost`.
-const CONSTANTS_ASSUMED_CACHED: [f64; 2] = [0.95, 0.4];
+const ASSUMED_CACHED: [f64; 2] = [0.95, 0.4];
 
 /// How an instance chooses an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -121,11 +118,7 @@
                 return job.shared_tokens;
             }
             let rank = homes.iter().position(|home| *home == index);
-            let assumed = match self.policy {
-                Policy::Constants => CONSTANTS_ASSUMED_CACHED,
-                _ => ASSUMED_CACHED,
-            };
-            rank.map_or(0.0, |rank| job.shared_tokens * assumed[rank])
+            rank.map_or(0.0, |rank| job.shared_tokens * ASSUMED_CACHED[rank])
         };
         self.sights.iter().enumerate().map(cached).collect()
     }
@@ -229,13 +222,9 @@
         let index = placement::choose(Workload::Generation(prompt), &candidates, tie);
         let index = index.expect("upstreams");
         let chosen = &candidates[index];
-        let is_known =
-            self.sights[index].cached.get(&job.shared).is_some_and(|at| now - at < CACHE_TTL);
-        let known = if is_known { job.shared_tokens as u64 } else { 0 };
-        let prefill_tokens = prompt - known;
+        let prefill_tokens = prompt - chosen.cached_tokens;
         let work = Work {
             prefill_tokens,
-            doubtful_tokens: chosen.cached_tokens.saturating_sub(known),
             memory_tokens: prefill_tokens + output,
             queued_tokens: chosen.queued_tokens,
             factor: chosen.factor,
