--- a/crates/ledger/src/escrow/driver.rs
+++ b/crates/ledger/src/escrow/driver.rs
@@ -454,7 +454,8 @@
         }
         let context = &self.inner.context;
         let mut share = Share::open(account, &context.holder, context.incarnation)
-            .started_at(context.started_at);
+            .started_at(context.started_at)
+            .first_start(context.is_first_start);
         self.configure_share(account, &mut share);
         let entry = Rc::new(Entry {
             account: Arc::clone(account),
