--- a/crates/front/src/codec.rs
+++ b/crates/front/src/codec.rs
@@ -59,6 +59,8 @@
     pub limit_per_s: Option<f64>,
     /// Requests per second that a brittle upstream can turn away; `None` if it is not brittle.
     pub brittle_limit: Option<usize>,
+    /// Time for which the upstream stays cold; `None` if it states none.
+    pub cold_remaining: Option<Duration>,
 }
 
 /// Decodes and encodes the header fields of a deployment.
@@ -76,6 +78,12 @@
     /// Decodes the head of an upstream's answer to the request of `params`.
     fn decode_response(&self, head: &Response, params: &Params) -> Metadata;
 
+    /// Appends a request by which an upstream is asked for what it states about itself.
+    fn encode_report_request(&self, address: std::net::SocketAddr, out: &mut BytesMut);
+
+    /// Decodes the incarnation in the answer of an upstream that was asked; `None` without one.
+    fn decode_report(&self, head: &Response, body: &[u8]) -> Option<Incarnation>;
+
     /// Returns the name of the field that carries the request id in answers.
     fn request_id_field(&self) -> &'static str;
 }
--- a/crates/front/src/fleet.rs
+++ b/crates/front/src/fleet.rs
@@ -5,18 +5,20 @@
 use std::rc::Rc;
 
 use base::prelude::*;
+use route::cold::{Bounds, Terms, Turns};
 use route::cost::{self, Length, Work};
 use route::placement::{self, Workload};
 use route::prefix;
 
 use crate::evacuation::Evacuations;
 use crate::params::Params;
+use crate::proof::{Listing, Proof};
 use crate::upstream::{Demand, Entry, Upstream};
 
 /// Expected duration of a plain request at a slowness of 1.
 const PLAIN_CALL_SECONDS: f64 = 0.02;
 /// Part of a prompt's shared tokens assumed cached at its first rendezvous upstream.
-const FIRST_CACHED_RATIO: f64 = 0.95;
+const FIRST_CACHED_RATIO: f64 = 0.7;
 /// Part of a prompt's shared tokens assumed cached at its second rendezvous upstream.
 const SECOND_CACHED_RATIO: f64 = 0.4;
 
@@ -73,11 +75,20 @@
     connection_limits: RefCell<HashMap<ServiceId, usize>>,
     /// Rejections per second that an upstream of a brittle service can bear.
     brittle_limits: RefCell<HashMap<ServiceId, usize>>,
+    /// What cold upstreams can handle, by service; others are never cold.
+    cold_terms: RefCell<HashMap<ServiceId, Terms>>,
+    cold_bounds: Cell<Bounds>,
+    /// Times named to callers that were refused for cold upstreams, by service.
+    turns: RefCell<HashMap<ServiceId, Turns>>,
     version: Cell<u64>,
     /// When the list was last known to be complete; `None` while the store does not answer.
     confirmed_at: Cell<Option<Duration>>,
     /// Failure domains whose upstreams get no requests.
     pub evacuations: Evacuations,
+    /// When the list was last known to be complete, also in an outage of the store since.
+    last_confirmed_at: Cell<Option<Duration>>,
+    /// The same before the latest read of the list, whose changes are still to be applied.
+    previous_confirmed_at: Cell<Option<Duration>>,
 }
 
 impl Fleet {
@@ -93,9 +104,14 @@
             memory_limits: RefCell::default(),
             connection_limits: RefCell::default(),
             brittle_limits: RefCell::default(),
+            cold_terms: RefCell::default(),
+            cold_bounds: Cell::default(),
+            turns: RefCell::default(),
             version: Cell::new(0),
             confirmed_at: Cell::default(),
             evacuations: Evacuations::default(),
+            last_confirmed_at: Cell::default(),
+            previous_confirmed_at: Cell::default(),
         }
     }
 
@@ -105,9 +121,13 @@
         self.version.get()
     }
 
-    /// Notes that the list is complete, or that it is unknown whether it is.
+    /// Notes that the list is complete once the changes that were read are applied, or that it is
+    /// unknown whether it is.
     pub fn set_confirmed(&self, at: Option<Duration>) {
         self.confirmed_at.set(at);
+        if at.is_some() {
+            self.previous_confirmed_at.set(self.last_confirmed_at.replace(at));
+        }
     }
 
     /// Returns true if no upstream can have been listed anew without being known here.
@@ -116,17 +136,34 @@
         self.confirmed_at.get().is_some_and(|at| now < at + LIST_VALIDITY)
     }
 
-    /// Returns true if a new connection leads certainly to the listed incarnation of an upstream.
+    /// Returns true unless something shows that an upstream may have started again.
+    ///
+    /// An entry may be late, so this alone does not prove the incarnation; see [`Proof`].
     #[must_use]
-    pub fn proves_connection(&self, upstream: &Upstream, now: Duration) -> bool {
+    pub fn is_likely_as_listed(&self, upstream: &Upstream, now: Duration) -> bool {
         self.is_current(now) && upstream.is_as_listed(now)
     }
 
-    /// Returns true if a later incarnation is listed under the id of an upstream.
+    /// Returns what shows that a connection opened just before `now` leads to the listed incarnation.
     #[must_use]
-    pub fn is_superseded(&self, upstream: &Rc<Upstream>) -> bool {
-        let upstreams = self.upstreams.borrow();
-        upstreams.get(&upstream.entry.id).is_some_and(|listed| !Rc::ptr_eq(listed, upstream))
+    pub fn proof_of_new(&self, upstream: &Upstream, now: Duration) -> Proof {
+        Proof { opened_at: now, is_likely: self.is_likely_as_listed(upstream, now) }
+    }
+
+    /// Returns what the list has shown of this incarnation of an upstream.
+    #[must_use]
+    pub fn listing(&self, upstream: &Upstream) -> Listing {
+        Listing {
+            confirmed_at: self.last_confirmed_at.get(),
+            ended_at: upstream.ended_at.get(),
+            stated_at: upstream.stated_at.get(),
+        }
+    }
+
+    /// Returns true if a connection certainly leads to this incarnation of an upstream.
+    #[must_use]
+    pub fn is_certain(&self, upstream: &Upstream, proof: Proof) -> bool {
+        proof.is_certain(self.listing(upstream))
     }
 
     /// Returns all listed upstreams, in no particular order.
@@ -186,6 +223,43 @@
         *self.connection_limits.borrow_mut() = limits;
     }
 
+    /// Sets the bounds on requests to cold upstreams, which a deployment states.
+    pub fn set_cold_bounds(&self, bounds: Bounds) {
+        self.cold_bounds.set(bounds);
+    }
+
+    /// Returns the bounds on requests to cold upstreams.
+    #[must_use]
+    pub fn cold_bounds(&self) -> Bounds {
+        self.cold_bounds.get()
+    }
+
+    /// Replaces what cold upstreams can handle, by service.
+    pub fn set_cold_terms(&self, terms: HashMap<ServiceId, Terms>) {
+        *self.cold_terms.borrow_mut() = terms;
+    }
+
+    /// Returns what cold upstreams of a service can handle; `None` if they are never cold.
+    #[must_use]
+    pub fn cold_terms(&self, service: &str) -> Option<Terms> {
+        self.cold_terms.borrow().get(service).copied()
+    }
+
+    /// Returns the delay to name to a caller that was refused for cold upstreams.
+    ///
+    /// The arguments are those of [`Turns::next`].
+    pub(crate) fn next_turn(
+        &self,
+        service: &ServiceId,
+        wait: Duration,
+        interval: Duration,
+        warm_in: Duration,
+        now: Duration,
+    ) -> Duration {
+        let mut turns = self.turns.borrow_mut();
+        turns.entry(Arc::clone(service)).or_default().next(wait, interval, warm_in, now)
+    }
+
     /// Replaces the memory of an upstream in tokens, by service; unknown without an entry.
     pub fn set_memory_limits(&self, limits: HashMap<ServiceId, Tokens>) {
         *self.memory_limits.borrow_mut() = limits;
@@ -262,7 +336,7 @@
                     || (entry.born > 0 && known.leaving.get());
                 return known.leaving.replace(is_leaving) != is_leaving;
             }
-            known.leaving.set(true);
+            self.end(known);
         }
         let id = Arc::clone(&entry.id);
         let mut rates = self.rates.borrow_mut();
@@ -274,11 +348,17 @@
     fn remove(&self, id: &UpstreamId) -> bool {
         let removed = self.upstreams.borrow_mut().remove(id);
         if let Some(known) = &removed {
-            known.leaving.set(true);
+            self.end(known);
         }
         removed.is_some()
     }
 
+    /// Notes that an incarnation is no longer listed; it was at the previous read of the list.
+    fn end(&self, upstream: &Upstream) {
+        upstream.leaving.set(true);
+        upstream.ended_at.set(Some(self.previous_confirmed_at.get().unwrap_or_default()));
+    }
+
     fn rebuild_service_index(&self) {
         let mut by_service: HashMap<ServiceId, Vec<Rc<Upstream>>> = HashMap::new();
         for upstream in self.upstreams.borrow().values() {
@@ -402,8 +482,10 @@
         };
         let index = placement::choose(workload, &candidates, tie)?;
         let chosen = &candidates[index];
+        let known = usable[index].cached_tokens(&params.prompt_parts, &prefix_hashes, now);
         let work = params.generation.map(|generation| Work {
-            prefill_tokens: generation.prompt_tokens.saturating_sub(chosen.cached_tokens),
+            prefill_tokens: generation.prompt_tokens.saturating_sub(known),
+            doubtful_tokens: chosen.cached_tokens.saturating_sub(known),
             memory_tokens: demand.memory_tokens(chosen.cached_tokens),
             queued_tokens: chosen.queued_tokens,
             factor: chosen.factor,
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -2,12 +2,15 @@
 //!
 //! A request passes these steps, each in its own module: [`listener`] reads its head, [`serve`]
 //! reads its body, finds its route and client account and reserves tokens, [`dispatch`] sends it to
-//! an upstream over a connection of [`connect`], [`relay`] returns the answer. [`fleet`] holds the upstreams and [`roster`] the
-//! other instances. [`Codec`] hides the names of a deployment's header fields.
+//! an upstream over a connection of [`connect`], [`relay`] returns the answer. [`fleet`] holds the
+//! upstreams and [`roster`] the other instances. [`proof`] tells which incarnation a connection
+//! leads to. [`memory`] bounds what connections hold. [`Codec`] hides the names of a deployment's
+//! header fields.
 //!
 //! All of this runs on one thread, because an instance has only a part of one core.
 
 pub mod codec;
+pub mod cold;
 pub mod connect;
 pub mod dispatch;
 pub mod evacuation;
@@ -15,8 +18,10 @@
 pub mod gate;
 pub mod link;
 pub mod listener;
+pub mod memory;
 pub mod metric;
 pub mod params;
+pub mod proof;
 pub mod refusal;
 pub mod relay;
 pub mod roster;
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -8,6 +8,7 @@
 use base::prelude::*;
 use h1::Conn;
 use route::brittle::{Brittle, Load, Rank};
+use route::cold::Cold;
 use route::cost::{self, Report, Work};
 use route::placement::{Average, Candidate};
 use route::prefix::Hash;
@@ -16,6 +17,7 @@
 use tokio::sync::Notify;
 
 use crate::params::Part;
+use crate::proof::Proof;
 
 new_key_type! {
     /// Key of a request in flight at an upstream.
@@ -38,6 +40,10 @@
 const CACHED_PARTS_PRUNE_THRESHOLD: usize = 2_048;
 /// Duration of the first ejection; each further one is twice as long.
 const MIN_EJECTION: Duration = Duration::from_millis(500);
+/// Duration of the ejection of what has answered without a signature and never with one.
+///
+/// It protects requests that must not be repeated from something that is no upstream.
+const STRANGER_EJECTION: Duration = Duration::from_secs(10);
 /// Duration of the longest ejection.
 const MAX_EJECTION: Duration = Duration::from_secs(4);
 
@@ -97,8 +103,8 @@
 #[derive(Debug)]
 struct Idle {
     conn: Conn,
-    /// Whether the connection certainly leads to the listed incarnation.
-    is_proven: bool,
+    /// What shows that the connection leads to this incarnation.
+    proof: Proof,
     expires_at: Duration,
 }
 
@@ -129,6 +135,10 @@
     paused_until: Cell<Duration>,
     throttle: Cell<Throttle>,
     brittle: RefCell<Brittle>,
+    /// What is known of its coldness; unused if upstreams of its service are never cold.
+    pub cold: Cell<Cold>,
+    /// Whether the upstream has signed an answer, which only upstreams can.
+    pub has_signed: Cell<bool>,
     /// Whether an answer of the upstream has stated that it leaves.
     pub has_stated_leaving: Cell<bool>,
     flights: RefCell<SlotMap<FlightKey, InFlight>>,
@@ -143,6 +153,12 @@
     ejection: Cell<(Duration, Duration)>,
     /// When a connect was last refused, which shows that the listed incarnation may have ended.
     refused_at: Cell<Option<Duration>>,
+    /// When the list last showed this incarnation before it ended; `None` while it is listed.
+    pub ended_at: Cell<Option<Duration>>,
+    /// When the upstream last stated that it is this incarnation; `None` if it never did.
+    pub stated_at: Cell<Option<Duration>>,
+    /// Whether the upstream was asked for its incarnation and cannot state it.
+    pub is_mute: Cell<bool>,
     /// When bytes last arrived over a connection of this instance.
     heard_at: Cell<Duration>,
     /// When the path to the upstream was last checked.
@@ -166,6 +182,8 @@
             paused_until: Cell::default(),
             throttle: Cell::default(),
             brittle: RefCell::default(),
+            cold: Cell::default(),
+            has_signed: Cell::new(false),
             has_stated_leaving: Cell::new(false),
             entry,
             flights: RefCell::default(),
@@ -176,6 +194,9 @@
             failure_ratio: RefCell::new(Average::open(0.0)),
             ejection: Cell::default(),
             refused_at: Cell::default(),
+            ended_at: Cell::default(),
+            stated_at: Cell::default(),
+            is_mute: Cell::new(false),
             heard_at: Cell::default(),
             checked_at: Cell::default(),
             cut_off: Notify::new(),
@@ -370,6 +391,13 @@
         self.close_idle();
     }
 
+    /// Excludes the upstream from selection, because its answer shows that it may be something else.
+    pub fn eject_stranger(&self, now: Duration) {
+        self.record_failure(now);
+        self.ejection.set((now + STRANGER_EJECTION, MAX_EJECTION));
+        self.close_idle();
+    }
+
     /// Notes that the upstream has refused a connect.
     pub fn record_refusal(&self, now: Duration) {
         self.refused_at.set(Some(now));
@@ -381,23 +409,60 @@
         self.refused_at.get().is_none_or(|at| now >= at + REFUSAL_DOUBT)
     }
 
-    /// Returns true if an idle connection leads certainly to the listed incarnation.
+    /// Returns true if there is an idle connection that `admits` accepts by its proof.
     #[must_use]
-    pub fn has_proven_idle(&self, now: Duration) -> bool {
-        self.idle.borrow().iter().any(|idle| idle.is_proven && now < idle.expires_at)
+    pub fn has_idle(&self, admits: impl Fn(Proof) -> bool, now: Duration) -> bool {
+        self.idle.borrow().iter().any(|idle| admits(idle.proof) && now < idle.expires_at)
     }
 
-    /// Removes an idle connection that is still open from the pool and returns it.
+    /// Returns true if an idle connection is open.
     ///
-    /// The flag tells whether it leads certainly to the listed incarnation; `only_proven` leaves
-    /// other connections in the pool.
+    /// Closed ones are removed.
     #[must_use]
-    pub fn acquire_idle(&self, only_proven: bool, now: Duration) -> Option<(Conn, bool)> {
+    pub fn has_open_idle(&self, now: Duration) -> bool {
         let mut idle = self.idle.borrow_mut();
-        while let Some(index) = idle.iter().rposition(|idle| idle.is_proven || !only_proven) {
-            let Idle { mut conn, is_proven, expires_at } = idle.remove(index);
+        idle.retain_mut(|idle| now < idle.expires_at && idle.conn.is_idle());
+        !idle.is_empty()
+    }
+
+    /// Returns true if all idle connections were closed before their lifetime has ended.
+    ///
+    /// It is false without any. A single one may have been closed for a cause of its own.
+    #[must_use]
+    pub fn has_lost_idle(&self, now: Duration) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        let mut unexpired = idle.iter_mut().filter(|idle| now < idle.expires_at).peekable();
+        unexpired.peek().is_some() && unexpired.all(|idle| !idle.conn.is_idle())
+    }
+
+    /// Counts a request that is sent, in case the upstream is cold.
+    pub fn record_sent(&self, now: Duration) {
+        let mut cold = self.cold.get();
+        cold.record_sent(now);
+        self.cold.set(cold);
+    }
+
+    /// Records that the upstream may get requests again after an evacuation of its domain.
+    pub fn record_return(&self, now: Duration) {
+        let mut cold = self.cold.get();
+        cold.record_return(now);
+        self.cold.set(cold);
+    }
+
+    /// Removes an idle connection that is still open from the pool and returns it with its proof.
+    ///
+    /// Those that `admits` does not accept stay in the pool.
+    #[must_use]
+    pub fn acquire_idle(
+        &self,
+        admits: impl Fn(Proof) -> bool,
+        now: Duration,
+    ) -> Option<(Conn, Proof)> {
+        let mut idle = self.idle.borrow_mut();
+        while let Some(index) = idle.iter().rposition(|idle| admits(idle.proof)) {
+            let Idle { mut conn, proof, expires_at } = idle.remove(index);
             if now < expires_at && conn.is_idle() {
-                return Some((conn, is_proven));
+                return Some((conn, proof));
             }
         }
         None
@@ -405,15 +470,9 @@
 
     /// Returns a connection to the pool, unless unread bytes follow the last answer.
     ///
-    /// `is_proven` tells whether it leads certainly to the listed incarnation, `keep_alive` is the
-    /// lifetime that the upstream states, if any.
-    pub fn release(
-        &self,
-        conn: Conn,
-        is_proven: bool,
-        keep_alive: Option<Duration>,
-        now: Duration,
-    ) {
+    /// `proof` shows which incarnation it leads to, `keep_alive` is the lifetime that the upstream
+    /// states, if any.
+    pub fn release(&self, conn: Conn, proof: Proof, keep_alive: Option<Duration>, now: Duration) {
         if !conn.input.is_empty() {
             return;
         }
@@ -423,7 +482,7 @@
         }
         let expires_at =
             now + keep_alive.unwrap_or(KEEP_ALIVE_DEFAULT).saturating_sub(KEEP_ALIVE_MARGIN);
-        idle.push(Idle { conn, is_proven, expires_at });
+        idle.push(Idle { conn, proof, expires_at });
     }
 
     /// Returns when bytes last arrived over a connection of this instance.
@@ -472,22 +531,23 @@
 pub struct Flight {
     upstream: Rc<Upstream>,
     key: FlightKey,
-    /// Whether the connection certainly leads to the listed incarnation.
-    is_proven: bool,
+    /// What shows that the connection leads to this incarnation.
+    proof: Proof,
     /// Whether the connection is one of this instance.
     is_direct: bool,
+    sent_at: Duration,
 }
 
 impl Flight {
     /// Counts a request that was expected to cause `work`; `None` for plain requests.
     ///
-    /// `is_proven` tells whether its connection leads certainly to the listed incarnation, and
-    /// `is_direct` whether it is one of this instance.
+    /// `proof` shows which incarnation its connection leads to, and `is_direct` tells whether it is
+    /// one of this instance.
     #[must_use]
     pub fn open(
         upstream: Rc<Upstream>,
         work: Option<Work>,
-        is_proven: bool,
+        proof: Proof,
         is_direct: bool,
         now: Duration,
     ) -> Self {
@@ -504,7 +564,7 @@
             is_answered: false,
         };
         let key = upstream.flights.borrow_mut().insert(flight);
-        Self { upstream, key, is_proven, is_direct }
+        Self { upstream, key, proof, is_direct, sent_at: now }
     }
 
     /// Returns the upstream that runs the request.
@@ -513,15 +573,15 @@
         &self.upstream
     }
 
-    /// Returns whether the connection certainly leads to the listed incarnation.
+    /// Returns what shows that the connection leads to this incarnation of the upstream.
     #[must_use]
-    pub fn is_proven(&self) -> bool {
-        self.is_proven
+    pub fn proof(&self) -> Proof {
+        self.proof
     }
 
     /// Returns the connection of the request to the upstream's pool.
     pub fn release(&self, conn: Conn, keep_alive: Option<Duration>, now: Duration) {
-        self.upstream.release(conn, self.is_proven, keep_alive, now);
+        self.upstream.release(conn, self.proof, keep_alive, now);
     }
 
     /// Records that so many events have arrived together.
@@ -580,6 +640,9 @@
 
     /// Records that bytes have arrived.
     fn record_heard(&self, now: Duration) {
+        let mut cold = self.upstream.cold.get();
+        cold.record_bytes(self.sent_at, now);
+        self.upstream.cold.set(cold);
         if self.is_direct {
             self.upstream.heard_at.set(now);
         }
