--- a/crates/ledger/src/escrow/driver.rs
+++ b/crates/ledger/src/escrow/driver.rs
@@ -454,8 +454,7 @@
         }
         let context = &self.inner.context;
         let mut share = Share::open(account, &context.holder, context.incarnation)
-            .started_at(context.started_at)
-            .first_start(context.is_first_start);
+            .started_at(context.started_at);
         self.configure_share(account, &mut share);
         let entry = Rc::new(Entry {
             account: Arc::clone(account),
--- a/crates/ledger/src/escrow/row.rs
+++ b/crates/ledger/src/escrow/row.rs
@@ -86,11 +86,6 @@
     pub usual: Tokens,
     /// Time of the write, in milliseconds of the store's steady clock.
     pub at_ms: u64,
-    /// Tokens that dead starts of this holder may have left unused, although they count as used.
-    ///
-    /// It is the sum of what was between [`Self::used`] and the spend limit of their last rows.
-    #[serde(default)]
-    pub stranded: Tokens,
     /// Era of the store in which the row was written, `None` in rows of earlier versions.
     #[serde(default)]
     pub era: Option<u64>,
--- a/crates/ledger/src/escrow/share.rs
+++ b/crates/ledger/src/escrow/share.rs
@@ -1,9 +1,7 @@
 //! Decisions about one instance's share of one account, without I/O.
 
 mod exposure;
-mod restore;
 mod size;
-mod take_over;
 
 use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -56,6 +54,14 @@
 /// Other holders return unused tokens at any moment, while used ones rarely come back.
 const MAX_READ_AGE_HELD: Duration = Duration::from_millis(200);
 
+/// Time after the first write of an era in which no holder takes tokens.
+///
+/// A holder learns of a restore with its next call to the store, at most a heartbeat later, and
+/// then writes its share again.
+const RESTORE_FENCE: Duration = Duration::from_secs(3);
+/// Time before a restore in which a holder may have taken tokens that the store has lost.
+const MAX_LOST_TIME: Duration = Duration::from_secs(10);
+
 /// Whether callers are given this instance's address.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Status {
@@ -67,15 +73,6 @@
     Closing,
 }
 
-/// Whether an earlier start of the instance may have used an account.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Origin {
-    /// No instance has started before.
-    FirstStart,
-    /// An earlier start may have used the account.
-    Restart,
-}
-
 /// Rows that one transaction writes; the total only if the size of the share changes.
 #[derive(Debug, Clone, Copy)]
 struct Draft {
@@ -137,8 +134,6 @@
     owns_row: bool,
     /// When this start of the instance began; its predecessor had ended by then.
     started_at: Option<Duration>,
-    /// Whether an earlier start of the instance may have used the account.
-    origin: Origin,
     /// Era of the store to which the known rows belong; `None` before the first read.
     era: Option<u64>,
     /// Tokens that were granted before a restore of the store, until they are written again.
@@ -147,16 +142,6 @@
     lost_out: Option<Tokens>,
     /// Tokens that other holders may have taken and not yet written again since a restore.
     others_lost: Tokens,
-    /// Tokens that the previous start may have taken in rows that a restore has lost.
-    ///
-    /// The first write of this start adds them to [`Total::out`].
-    unseen: Tokens,
-    /// [`Grant::stranded`] of the own row.
-    stranded: Tokens,
-    /// Sum of [`Grant::stranded`] in the rows of other holders, as of `rows_read_at`.
-    others_stranded: Tokens,
-    /// Own rate of spending when the rows of others were read, in tokens per second.
-    rate_at_read: f64,
     /// Time of the store's clock at the last step.
     last_store_now: Duration,
     /// When the account's rows were last read; `None` if they must be read again.
@@ -215,15 +200,10 @@
             unconfirmed: None,
             owns_row: false,
             started_at: None,
-            origin: Origin::Restart,
             era: None,
             lost_grant: None,
             lost_out: None,
             others_lost: 0,
-            unseen: 0,
-            stranded: 0,
-            others_stranded: 0,
-            rate_at_read: 0.0,
             last_store_now: Duration::ZERO,
             rows_read_at: None,
             total_known_at: Duration::ZERO,
@@ -255,15 +235,6 @@
         self
     }
 
-    /// Sets whether no earlier start of any instance can have used the account.
-    ///
-    /// If one can, and its row is missing after a restore of the store, its use is estimated.
-    #[must_use]
-    pub fn first_start(mut self, is_first_start: bool) -> Self {
-        self.origin = if is_first_start { Origin::FirstStart } else { Origin::Restart };
-        self
-    }
-
     /// Sets the budget of the account and the fleet of which callers are given addresses.
     ///
     /// `budget` is `None` for an account without a limit. `is_listed` tells whether callers are
@@ -476,6 +447,55 @@
         Some(if is_exhausted { Shortage::Exhausted } else { Shortage::HeldElsewhere })
     }
 
+    /// Notes the era of the store; a later one than before makes the known rows invalid.
+    ///
+    /// The tokens of the share can be used again once its row has been written in the new era.
+    pub fn enter_era(&mut self, era: Option<u64>) {
+        if era <= self.era {
+            return;
+        }
+        if self.era.is_some() {
+            if self.owns_row {
+                self.lost_grant.get_or_insert(self.min_granted());
+            }
+            if self.total_revision > 0 {
+                self.lost_out = self.lost_out.max(Some(self.total.out));
+            }
+            self.stored = Grant {
+                incarnation: self.stored.incarnation,
+                seq: self.stored.seq,
+                ..Grant::default()
+            };
+            self.stored_revision = 0;
+            self.total = Total::default();
+            self.total_revision = 0;
+            self.era_row = Era::default();
+            self.era_row_revision = 0;
+            self.rows_read_at = None;
+        }
+        self.era = era;
+    }
+
+    /// Returns the era of the store to which the known rows belong.
+    #[must_use]
+    pub fn era(&self) -> Option<u64> {
+        self.era
+    }
+
+    /// Returns true if tokens must not be taken yet, because holders still write their shares again.
+    fn is_fenced(&self, store_now: Duration) -> bool {
+        let start = Duration::from_millis(self.era_row.start_ms);
+        self.starts_era() || (!start.is_zero() && store_now.saturating_sub(start) < RESTORE_FENCE)
+    }
+
+    /// Returns true if the next write is the first one of the account since a restore.
+    fn starts_era(&self) -> bool {
+        if self.era_row_revision == 0 {
+            return self.lost_grant.is_some();
+        }
+        Some(self.era_row.number) < self.era
+    }
+
     /// Makes the next step read the account's rows again.
     pub fn invalidate_rows(&mut self) {
         self.rows_read_at = None;
@@ -521,7 +541,6 @@
         let now_ms = millis(store_now);
         let half_exposure_used = self.stored.used.saturating_add(self.stored.exposure / 2);
         let is_limit_near = self.committed() + self.demand > half_exposure_used
-            && (self.demand > 0 || self.can_admit_ahead(now))
             && self.stored.granted > self.stored.spend_limit_at(now_ms)
             || (!self.owns_row && self.demand > 0 && self.demand <= self.stored.granted);
         // Other holders write the total too. An urgent renewal leaves it out after a conflict, since
@@ -535,11 +554,10 @@
             None if self.is_fenced(store_now) => self.target_granted(now).min(self.stored.granted),
             None => self.target_granted(now),
         };
-        let changes = granted != self.stored.granted || self.unseen > 0;
+        let changes = granted != self.stored.granted;
         let out = (self.total.out + granted).saturating_sub(self.stored.granted);
-        let out = out.saturating_add(self.counted_unseen());
         let total = changes.then_some(Total { out });
-        let must_start_era = self.starts_era() && (self.demand > 0 || self.is_first_take_due(now));
+        let must_start_era = self.starts_era() && self.demand > 0;
         // The row of an earlier start must be replaced; an empty share without a row needs none.
         let is_row_own_or_absent = self.owns_row || self.stored_revision == 0;
         if !changes
@@ -568,7 +586,6 @@
             rate: to_tokens(rate),
             usual,
             at_ms: now_ms,
-            stranded: self.stranded,
             era: self.era,
         };
         let era = self.draft_era(granted, now_ms);
@@ -594,6 +611,30 @@
             && self.target_granted(now) < self.stored.granted
     }
 
+    /// Returns the era row after a write that changes the size of the share to `granted`.
+    fn draft_era(&self, granted: Tokens, now_ms: u64) -> Era {
+        let mut era = if self.era_row_revision == 0 || self.starts_era() {
+            Era {
+                number: self.era.unwrap_or_default(),
+                start_ms: if self.starts_era() { now_ms } else { 0 },
+                restored_out: self.total.out,
+                lost_out: self.total.out,
+                // What an earlier restore has lost is still missing after this one.
+                rewritten: -i64::try_from(self.era_row.missing()).unwrap_or(i64::MAX),
+            }
+        } else {
+            self.era_row
+        };
+        era.lost_out = era.lost_out.max(self.lost_out.unwrap_or_default());
+        if self.lost_grant.is_some() {
+            era.rewritten = era
+                .rewritten
+                .saturating_add_unsigned(granted)
+                .saturating_sub_unsigned(self.stored.granted);
+        }
+        era
+    }
+
     /// Returns true if the row is due for renewal and the share is in use.
     fn is_renewal_due(&self, now: Duration) -> bool {
         let instances = u32::try_from(self.instance_count).unwrap_or(u32::MAX);
@@ -632,7 +673,6 @@
                 self.stored = written;
                 self.stored_revision = *revision;
                 self.owns_row = true;
-                self.unseen = 0;
                 self.unconfirmed = None;
                 if written.era == self.era {
                     self.lost_grant = None;
@@ -693,7 +733,6 @@
         self.others.clear();
         self.others_free = 0;
         self.others_lost = 0;
-        self.others_stranded = 0;
         self.others_tokens_per_second = 0.0;
         for row in rows {
             if row.key == own || self.is_shared_row(&row.key) {
@@ -701,7 +740,6 @@
             } else if let Ok(grant) = serde_json::from_value::<Grant>(row.value.clone()) {
                 self.others_free += grant.free();
                 self.others_lost += self.possibly_lost(&grant);
-                self.others_stranded = self.others_stranded.saturating_add(grant.stranded);
                 self.others_tokens_per_second += grant.decayed_rate(store_now);
                 self.others_mean_bound = self.others_mean_bound.max(to_f64(grant.usual));
                 if let Some(holder) = row.key.strip_prefix(&holder_prefix) {
@@ -709,9 +747,6 @@
                 }
             }
         }
-        if self.stored_revision == 0 && !self.owns_row {
-            self.unseen = self.unseen.max(self.unseen_without_row(now, store_now));
-        }
         if self.stored_revision == 0
             && let Some(started_at) = self.started_at
         {
@@ -724,7 +759,6 @@
                 self.replace_restored_row();
             }
         }
-        self.rate_at_read = self.mean_rate.tokens_per_second(now);
         self.rows_read_at = Some(now);
         self.total_known_at = now;
     }
@@ -737,6 +771,67 @@
         FIRST_TAKE_SPREAD.mul_f64(fraction / f64::from(u32::MAX))
     }
 
+    /// Returns the tokens that a holder may have taken in rows that a restore has lost.
+    ///
+    /// A holder that has not written its row again may be cut off from the store and still spend
+    /// them. They are estimated by its free tokens and its rate of spending.
+    fn possibly_lost(&self, grant: &Grant) -> Tokens {
+        let was_alive = grant.at_ms.saturating_add(millis(MAX_LOST_TIME)) >= self.era_row.start_ms;
+        if grant.era.is_none_or(|era| Some(era) >= self.era) || !was_alive {
+            return 0;
+        }
+        grant.free().max(to_tokens(to_f64(grant.rate) * MAX_LOST_TIME.as_secs_f64()))
+    }
+
+    fn is_row_of_earlier_era(&self) -> bool {
+        self.stored.era.is_some_and(|era| Some(era) < self.era)
+    }
+
+    /// Discards the row of the previous start, which a restore has put back.
+    ///
+    /// All of its tokens stay counted in `Total::out`.
+    fn replace_restored_row(&mut self) {
+        self.stored =
+            Grant { incarnation: self.incarnation, seq: self.stored.seq, ..Grant::default() };
+    }
+
+    /// Returns a time of the store's clock by which the previous start had ended.
+    ///
+    /// The store gave its time after the call had started, so that the time from the start of the
+    /// instance to the call cannot be too long.
+    fn predecessor_end(&self, store_now: Duration) -> Duration {
+        let uptime = self
+            .started_at
+            .map(|started_at| self.latency.call_started_at().saturating_sub(started_at));
+        store_now.saturating_sub(uptime.unwrap_or_default())
+    }
+
+    /// Starts the share with the tokens that the previous start cannot have used by its end.
+    fn take_over_row(&mut self, predecessor_end: Duration) {
+        // The newest row of the previous start may be lost, so the spend limit of this one does
+        // not bound its use.
+        let limit = if self.is_row_of_earlier_era() {
+            self.stored.granted
+        } else {
+            self.stored.spend_limit_at(millis(predecessor_end))
+        };
+        let unused = self.stored.granted - limit;
+        // The rest of the old grant may have been used and stays counted in `Total::out`.
+        self.stored = Grant {
+            incarnation: 0,
+            seq: self.stored.seq,
+            granted: unused,
+            used: 0,
+            exposure: 0,
+            per_s: 0,
+            still_ms: 0,
+            rate: 0,
+            usual: 0,
+            at_ms: 0,
+            era: None,
+        };
+    }
+
     /// Returns true for the rows that all holders of the account write.
     fn is_shared_row(&self, key: &str) -> bool {
         key == row::total_key(&self.account) || key == row::era_key(&self.account)
@@ -767,10 +862,6 @@
         if row.revision == self.stored_revision {
             return;
         }
-        if grant.incarnation == self.incarnation && grant.era == self.era {
-            // A write that got no answer was applied, also to the total.
-            self.unseen = 0;
-        }
         self.stored = grant;
         self.stored_revision = row.revision;
     }
@@ -807,23 +898,18 @@
         let can_resize = self.may_resize(now) || self.is_read_due(now);
         let returns_tokens = self.returns_all(now)
             || (can_resize && self.owns_row && self.target_granted(now) < self.stored.granted);
+        let takes_first_tokens = self.stored_revision == 0
+            && now >= self.takes_idle_from
+            && !self.takes_idle_from.is_zero()
+            && self.target_free(now) > 0;
         returns_tokens
-            || self.is_first_take_due(now)
+            || takes_first_tokens
             || self.lost_grant.is_some()
-            || self.unseen > 0
             || self.is_renewal_due(now)
             || self.rows_read_at.is_none()
             || (is_in_use && self.is_read_due(now))
     }
 
-    /// Returns true if a share without a row should take tokens that no request waits for.
-    fn is_first_take_due(&self, now: Duration) -> bool {
-        self.stored_revision == 0
-            && now >= self.takes_idle_from
-            && !self.takes_idle_from.is_zero()
-            && self.target_free(now) > 0
-    }
-
     /// Returns true if the account's rows are due for another read.
     #[must_use]
     pub fn is_read_due(&self, now: Duration) -> bool {
--- a/crates/ledger/src/escrow/share/size.rs
+++ b/crates/ledger/src/escrow/share/size.rs
@@ -59,12 +59,8 @@
     ///
     /// It follows the spending rates, since all callers of an account may use one instance.
     pub(super) fn own_fraction(&self, now: Duration) -> f64 {
-        self.fraction_of_rate(self.mean_rate.tokens_per_second(now))
-    }
-
-    /// Returns the fraction of the tokens of all holders for an own rate of spending.
-    pub(super) fn fraction_of_rate(&self, own_rate: f64) -> f64 {
         let instances = f64::from(u32::try_from(self.instance_count).unwrap_or(u32::MAX));
+        let own_rate = self.mean_rate.tokens_per_second(now);
         let total_rate = own_rate + self.others_tokens_per_second;
         if self.status != Status::Listed {
             return own_rate / (total_rate + MIN_RATE);
@@ -73,22 +69,10 @@
         (own_rate + even_rate) / (total_rate + even_rate * instances)
     }
 
-    /// Returns the tokens that a listed instance takes at first of an account in use.
-    pub(super) fn fair_first_share(&self) -> Tokens {
-        if self.status != Status::Listed {
-            return 0;
-        }
-        fraction_of(self.remaining(), HELD_FRACTION) / self.instance_count.max(1)
-    }
-
-    /// Returns true if any instance spends, as last read.
-    pub(super) fn is_in_use(&self, now: Duration) -> bool {
-        self.mean_rate.tokens_per_second(now) + self.others_tokens_per_second > MIN_RATE
-    }
-
     /// Returns the fraction of the remaining budget that all shares should hold together.
     fn held_fraction(&self, now: Duration) -> f64 {
-        let is_used = self.is_in_use(now);
+        let is_used =
+            self.mean_rate.tokens_per_second(now) + self.others_tokens_per_second > MIN_RATE;
         let is_near_end =
             self.remaining() < fraction_of(self.budget.unwrap_or_default(), NEAR_END_FRACTION);
         match (is_used, is_near_end) {
