--- a/crates/route/src/cost/length.rs
+++ b/crates/route/src/cost/length.rs
@@ -34,7 +34,7 @@
     ///
     /// ```
     /// let mut length = route::cost::Length::default();
-    /// assert_eq!(length.estimate(None, 400).0, 400.0);
+    /// assert!((length.estimate(None, 400).0 - 400.0).abs() < 1e-9);
     /// for _ in 0..50 {
     ///     length.observe(Some(1_000), 60);
     /// }
