--- a/review/lib-2/standin.py
+++ b/review/lib-2/standin.py
@@ -397,10 +397,6 @@
                      f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
 
 
-def is_gone(writer):
-    return writer.is_closing()
-
-
 # --- the project's own program ----------------------------------------------------------------
 
 class Instance:
@@ -606,6 +602,8 @@
     if not os.path.exists(os.path.join(ROOT, PROGRAM)):
         print(f"{PROGRAM} is missing: run the build of the deploy file first")
         sys.exit(2)
+    for number in (signal.SIGTERM, signal.SIGHUP):
+        signal.signal(number, lambda *_: sys.exit(2))
     record = Record(folder)
     scratch = tempfile.mkdtemp(prefix="review-")
     instances = []
