--- a/review/lib-2/standin.py
+++ b/review/lib-2/standin.py
@@ -621,7 +621,9 @@
         code = 1 if broken else 0
         print("the rule was broken" if broken else "the rule held")
         record.line("the rule was broken" if broken else "the rule held")
-    except (CannotRun, TimeoutError, OSError) as error:
+    # Any other failure of the script must not look like a broken rule either.
+    except Exception as error:
+        code = 2
         print(f"the case could not run: {error!r}")
         record.line(f"the case could not run: {error!r}")
     finally:
