--- a/review/lib-2/standin.py
+++ b/review/lib-2/standin.py
@@ -22,6 +22,8 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 PROGRAM = "target/release/lacewing-platform"
 HEARTBEAT_S = 1.2
+# Port of the program's metrics, on the address of its callers.
+METRICS_PORT = 9464
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
@@ -37,6 +39,8 @@
 
     def line(self, text):
         self.file.write(f"{self.now():8.3f}  {text}\n")
+        if "process" in text:
+            self.file.flush()
 
     def close(self):
         self.file.close()
@@ -99,6 +103,15 @@
         return sock.getsockname()[1]
 
 
+def is_free(host, port):
+    with socket.socket() as sock:
+        try:
+            sock.bind((host, port))
+        except OSError:
+            return False
+        return True
+
+
 class Server:
     """A listening socket whose connections can be reset all at once."""
 
@@ -408,9 +421,13 @@
         Instance.count += 1
         self.name = f"front-{zone}-{Instance.count}"
         # The port of the metrics is fixed, so that each process has an address of its own.
-        self.ip = f"127.{random.randint(64, 250)}.{random.randint(1, 250)}.{random.randint(2, 250)}"
+        while True:
+            self.ip = ".".join(str(random.randint(2, 250)) for _ in range(4))
+            self.ip = "127." + self.ip.split(".", 1)[1]
+            first = random.randint(20000, 30000)
+            if all(is_free(self.ip, port) for port in (METRICS_PORT, first, first + 1)):
+                break
         self.ports = [free_port(self.ip) for _ in range(3)]
-        first = random.randint(20000, 30000)
         self.record, self.folder = record, folder
         self.path = os.path.join(folder, f"{self.name}.toml")
         self.log_path = os.path.join(folder, f"{self.name}.log")
@@ -602,8 +619,16 @@
     if not os.path.exists(os.path.join(ROOT, PROGRAM)):
         print(f"{PROGRAM} is missing: run the build of the deploy file first")
         sys.exit(2)
-    for number in (signal.SIGTERM, signal.SIGHUP):
-        signal.signal(number, lambda *_: sys.exit(2))
+    ending = (signal.SIGTERM, signal.SIGHUP, signal.SIGINT)
+
+    def end(*_):
+        # A second signal must not interrupt the end of the processes.
+        for number in ending:
+            signal.signal(number, signal.SIG_IGN)
+        sys.exit(2)
+
+    for number in ending:
+        signal.signal(number, end)
     record = Record(folder)
     scratch = tempfile.mkdtemp(prefix="review-")
     instances = []
