--- a/review/lib-3/lab.py
+++ b/review/lib-3/lab.py
@@ -379,6 +379,8 @@
         self.store = lab.store.address
 
     async def start(self):
+        if self.is_running:
+            raise RuntimeError("the process of the machine runs already")
         path = os.path.join(self.lab.folder, self.name + ".toml")
         with open(path, "w") as file:
             file.write(SETTINGS.format(name=self.name, ip=self.ip, zone=self.zone, bounds=BOUNDS,
@@ -571,7 +573,12 @@
 
     async def main():
         # Connections that end with the case are no errors.
-        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda loop, context: None)
+        # A signal ends the case, and with it the processes that it has started.
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.add_signal_handler(number, task.cancel)
         lab = Lab(os.path.dirname(os.path.abspath(file)))
         try:
             return await asyncio.wait_for(case(lab), limit)
@@ -580,10 +587,8 @@
 
     try:
         broken = asyncio.run(main())
-    except Exception as error:  # The case could not run.
+    except (Exception, asyncio.CancelledError) as error:
         print("could not run: %r" % error)
-        import traceback
-        traceback.print_exc()
         sys.exit(2)
     print("rule broken" if broken else "rule held")
     sys.exit(1 if broken else 0)
