--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,8 +5,10 @@
 exec python3 - <<'PYTHON'
 import glob
 
-for path in sorted(glob.glob("review/lib-2/*.py") + glob.glob("review/[0-9]*/case.py")):
-    if path.split("/")[1] == "lib-2" or int(path.split("/")[1]) >= 6:
+paths = glob.glob("review/lib-[23]/*.py") + glob.glob("review/[0-9]*/case.py")
+for path in sorted(paths + glob.glob("review/findings-2/*/case.py")):
+    folder = path.split("/")[1]
+    if not folder.isdigit() or int(folder) >= 6:
         with open(path, encoding="utf-8") as file:
             compile(file.read(), path, "exec")
 PYTHON
--- a/review/P1E/case.py
+++ b/review/findings-2/many-fields/case.py
@@ -4,7 +4,7 @@
 import os
 import sys
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))), "lib-3"))
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__)))), "lib-3"))
 import lab
 from lab import Client, route
 
