--- a/review/lib-3/lab.py
+++ b/review/lib-3/lab.py
@@ -379,8 +379,8 @@
         self.store = lab.store.address
 
     async def start(self):
-        if self.is_running:
-            raise RuntimeError("the process of the machine runs already")
+        if self.is_running or self.lab.is_closing:
+            raise RuntimeError("the process of the machine runs already, or the case has ended")
         path = os.path.join(self.lab.folder, self.name + ".toml")
         with open(path, "w") as file:
             file.write(SETTINGS.format(name=self.name, ip=self.ip, zone=self.zone, bounds=BOUNDS,
@@ -502,6 +502,7 @@
         self.record = Record(case_folder)
         self.folder = tempfile.mkdtemp(prefix="lacewing-case-")
         self.machines, self.engines, self.config = [], [], None
+        self.is_closing = False
         # Ports are fixed by the settings, so each run uses loopback addresses of its own.
         while True:
             self.net = (random.randint(64, 250), random.randint(1, 250))
@@ -544,9 +545,12 @@
         return await machine.start()
 
     async def close(self):
-        for machine in self.machines:
-            if machine.is_running:
-                await machine.kill()
+        self.is_closing = True
+        # A start that was under way ends within the pause.
+        for _ in range(2):
+            for machine in self.machines:
+                machine.signal(signal.SIGKILL)
+            await asyncio.sleep(0.2)
         if os.environ.get("KEEP"):
             print("kept", self.folder)
         else:
@@ -577,8 +581,16 @@
         loop.set_exception_handler(lambda loop, context: None)
         # A signal ends the case, and with it the processes that it has started.
         task = asyncio.current_task()
+        stopped = []
+
+        def stop():
+            # A second signal does not interrupt the end of the processes.
+            if not stopped:
+                stopped.append(True)
+                task.cancel()
+
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-            loop.add_signal_handler(number, task.cancel)
+            loop.add_signal_handler(number, stop)
         lab = Lab(os.path.dirname(os.path.abspath(file)))
         try:
             return await asyncio.wait_for(case(lab), limit)
