--- a/review/lib-3/lab.py
+++ b/review/lib-3/lab.py
@@ -506,7 +506,7 @@
         # Ports are fixed by the settings, so each run uses loopback addresses of its own.
         while True:
             self.net = (random.randint(64, 250), random.randint(1, 250))
-            if self.is_free("127.%d.%d.11" % self.net):
+            if all(self.is_free("127.%d.%d.%d" % (*self.net, 10 + number)) for number in range(1, 9)):
                 break
 
     @staticmethod
