Take a status outside the protocol for a faulty upstream

Callers saw: an answer with the status 000 of an upstream in trouble came to them as an answer.

Cause: the head parser takes any three digits, and nothing compared them with the classes of the protocol. 101 counted as interim, although no request asks for another protocol.

Change: h1::Response::decode rejects what is outside 100 to 599, and 101, for all its readers.

--- a/crates/h1/src/head.rs
+++ b/crates/h1/src/head.rs
@@ -6,6 +6,10 @@
 
 /// Most header fields in a head; known clients and engines send fewer.
 const MAX_FIELDS: usize = 96;
+/// Status codes that the protocol has classes for.
+const STATUSES: std::ops::RangeInclusive<u16> = 100..=599;
+/// Status of an answer after which another protocol is spoken.
+const SWITCHING_PROTOCOLS: u16 = 101;
 
 /// Header fields in the order of the message; names are compared without case.
 #[derive(Debug, Clone, Default)]
@@ -84,7 +88,7 @@
 /// Status line and header fields of a response.
 #[derive(Debug, Clone)]
 pub struct Response {
-    /// Status code as sent, three digits.
+    /// Status code as sent, from 100 to 599.
     pub status: u16,
     /// All header fields, including those about framing and the connection.
     pub fields: Fields,
@@ -146,7 +150,15 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the head is malformed, exceeds `max_bytes` or has ambiguous framing.
+    /// Returns an error if the head is malformed, exceeds `max_bytes` or has ambiguous framing, or
+    /// if its status is outside 100 to 599 or 101, since no request asks for another protocol.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let mut input = bytes::BytesMut::from(&b"HTTP/1.1 000 Odd\r\n\r\n"[..]);
+    /// assert!(matches!(h1::Response::decode(&mut input, 100), Err(h1::Error::Malformed(_))));
+    /// ```
     pub fn decode(input: &mut BytesMut, max_bytes: usize) -> Result<Option<Self>, Error> {
         let Some(size) = find_head_end(input, max_bytes)? else { return Ok(None) };
         let raw = input.split_to(size).freeze();
@@ -158,6 +170,9 @@
         }
         let version = parsed.version.unwrap_or_default();
         let status = parsed.code.unwrap_or_default();
+        if !STATUSES.contains(&status) || status == SWITCHING_PROTOCOLS {
+            return Err(Error::Malformed("the status is none of the protocol"));
+        }
         let fields = slice_fields(&raw, parsed.headers);
         let framing = response_framing(&fields, status)?;
         let keep_alive = framing != Framing::UntilClose && keep_alive(&fields, version);
--- a/crates/h1/tests/messages.rs
+++ b/crates/h1/tests/messages.rs
@@ -59,6 +59,18 @@
     assert_eq!((head.framing, head.keep_alive), (framing, keep_alive));
 }
 
+/// Guards against a status that the protocol does not have, and that a caller takes for an answer.
+#[test_case("000")]
+#[test_case("099")]
+#[test_case("101"; "101_without_an_upgrade")]
+#[test_case("600")]
+#[test_case("999")]
+fn a_status_outside_the_protocol_is_malformed(status: &str) {
+    let text = format!("HTTP/1.1 {status} Odd\r\nContent-Length: 0\r\n\r\n");
+    let result = Response::decode(&mut BytesMut::from(text.as_bytes()), MAX_HEAD_BYTES);
+    assert!(matches!(result, Err(Error::Malformed(_))), "{result:?}");
+}
+
 #[test]
 fn a_close_completes_only_a_body_framed_by_the_close() {
     Body::open(Framing::UntilClose)
