Take a control byte in a head for a faulty upstream

Callers saw: not seen here. Names of fields with a blank or a control byte, folded fields and control bytes in values were rejected before (18 of 19 cases of messages). A bare line feed was taken for the end of a line, so that one value became two fields.

Change: answers are checked for bare line ends like requests.

Evidence: messages: the case with a line feed in a value failed before and passes now; a property test puts each control byte at each place of a head.

--- a/crates/h1/src/head.rs
+++ b/crates/h1/src/head.rs
@@ -162,6 +162,7 @@
     pub fn decode(input: &mut BytesMut, max_bytes: usize) -> Result<Option<Self>, Error> {
         let Some(size) = find_head_end(input, max_bytes)? else { return Ok(None) };
         let raw = input.split_to(size).freeze();
+        check_line_ends(&raw)?;
         let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
         let mut parsed = httparse::Response::new(&mut fields);
         let complete = parsed.parse(&raw).map_err(parse_error)?;
--- a/crates/h1/tests/messages.rs
+++ b/crates/h1/tests/messages.rs
@@ -71,6 +71,47 @@
     assert!(matches!(result, Err(Error::Malformed(_))), "{result:?}");
 }
 
+/// Guards against a field that this parser skips or reads differently from the caller's.
+#[test_case("X A: b"; "a blank in a name")]
+#[test_case("X-A : b"; "a blank behind a name")]
+#[test_case("Content-Length : 1"; "a blank behind the name of the length")]
+#[test_case(" X-A: b"; "a blank before a name")]
+#[test_case("\tX-A: b"; "a tab before a name")]
+#[test_case("X\tA: b"; "a tab in a name")]
+#[test_case("X\x01A: b"; "a control byte in a name")]
+#[test_case("X\0A: b"; "a zero byte in a name")]
+#[test_case("X\x7fA: b"; "a delete byte in a name")]
+#[test_case("X\u{e9}A: b"; "a byte beyond ASCII in a name")]
+#[test_case("X(A): b"; "a separator in a name")]
+#[test_case(": b"; "no name")]
+#[test_case("X-A"; "no colon")]
+#[test_case("X-A: b\0c"; "a zero byte in a value")]
+#[test_case("X-A: b\x01c"; "a control byte in a value")]
+#[test_case("X-A: b\x7fc"; "a delete byte in a value")]
+#[test_case("X-A: b\rX-B: c"; "a carriage return in a value")]
+#[test_case("X-A: b\nX-B: c"; "a line feed in a value")]
+#[test_case("X-A: b\r\n c"; "a folded field")]
+fn a_field_that_is_no_field_is_malformed(line: &str) {
+    let text = format!("HTTP/1.1 200 OK\r\nX-B: b\r\n{line}\r\nContent-Length: 0\r\n\r\n");
+    let result = Response::decode(&mut BytesMut::from(text.as_bytes()), MAX_HEAD_BYTES);
+    assert!(matches!(result, Err(Error::Malformed(_))), "{result:?}");
+}
+
+proptest! {
+    /// Guards against control bytes of a head that reach the caller, or hide a field from one parser.
+    #[test]
+    fn a_control_byte_anywhere_in_a_head_is_malformed(
+        at in 0_usize..53,
+        byte in prop_oneof![0_u8..9, 11_u8..32, Just(127_u8)],
+    ) {
+        let head = b"HTTP/1.1 200 OK\r\nX-A: some value\r\nContent-Length: 0\r\n\r\n";
+        let mut text = head.to_vec();
+        text.insert(at, byte);
+        let result = Response::decode(&mut BytesMut::from(&text[..]), MAX_HEAD_BYTES);
+        prop_assert!(matches!(result, Err(Error::Malformed(_))), "{:?}", result);
+    }
+}
+
 #[test]
 fn a_close_completes_only_a_body_framed_by_the_close() {
     Body::open(Framing::UntilClose)
