Let no refusal of an earlier request count for a later one

Callers saw: 'not run, try again' for requests that had run, or that ran at a second upstream as well, after a faulty upstream had repeated an earlier refusal on a kept connection.

Cause: an answer of 400 or more without an id counted as the answer to the request that was due, also on a connection that had carried others. Bytes that arrived between the check of an idle connection and the first byte of the request were read as its answer.

Change: on a connection that has carried a request, an answer counts only if it names its request; any other makes the outcome unknown (502). Conn::exchange sends nothing after bytes that came unasked; the request then goes over another connection, since it was certainly not sent.

A repeated refusal with its id, or on an idle connection, was handled before.

--- a/crates/front/src/codec.rs
+++ b/crates/front/src/codec.rs
@@ -29,11 +29,23 @@
     pub last_event_id: Option<u64>,
 }
 
+/// Request that an answer belongs to, as its head states it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Subject {
+    /// The request that was sent.
+    Named,
+    /// A request without a name, the one that was sent if the connection has carried no other.
+    Unnamed,
+    /// Another request, or none.
+    #[default]
+    Other,
+}
+
 /// Statements in the head of an upstream's answer.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Metadata {
-    /// Whether the answer belongs to the request that was sent.
-    pub matches_request: bool,
+    /// Which request the answer belongs to.
+    pub subject: Subject,
     /// Whether the upstream signed the answer.
     pub is_signed: bool,
     /// Whether the upstream states that the request did not run and never will.
--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -17,7 +17,7 @@
 use thiserror::Error;
 use tokio::time::timeout;
 
-use crate::codec::{Metadata, Outbound, Statement};
+use crate::codec::{Metadata, Outbound, Statement, Subject};
 use crate::connect::{self, Doubt, Opened, Origin, Verdict};
 use crate::fleet::Selection;
 use crate::memory::Holder;
@@ -153,6 +153,9 @@
     /// The connection hangs, since this instance has lost its path to the upstream.
     #[error("path lost")]
     PathLost,
+    /// The kept connection had brought bytes that no request had asked for; nothing was sent.
+    #[error("bytes came unasked")]
+    Unsolicited,
     /// The connection failed or the answer was unusable after the request was sent.
     #[error("broken: {0}")]
     Exchange(h1::Error),
@@ -308,14 +311,18 @@
                 Err(failure) => failure,
             };
             self.record_failure(&selection, &failure);
-            self.tried_upstreams.push(id);
+            // Another connection to the same upstream may be sound.
+            if !matches!(failure, Failure::Unsolicited) {
+                self.tried_upstreams.push(id);
+            }
             if matches!(failure, Failure::NoPath) {
                 return Err(self.no_path_refusal());
             }
             if matches!(failure, Failure::Evacuated | Failure::Cold) {
                 continue;
             }
-            if matches!(failure, Failure::Connect(_) | Failure::Unproven(_)) {
+            if matches!(failure, Failure::Connect(_) | Failure::Unproven(_) | Failure::Unsolicited)
+            {
                 failed_connects += 1;
                 if failed_connects >= MAX_CONNECT_FAILURES {
                     self.front.record_no_exit(&self.service);
@@ -553,6 +560,7 @@
             front.connect(upstream, time_left).await.map_err(Failure::from)?
         };
         let Opened { mut conn, proof, is_tunnel } = opened;
+        let is_kept = conn.is_used();
         if upstream.leaving.get() {
             return Err(Failure::Connect(ErrorKind::NotConnected.into()));
         }
@@ -593,6 +601,14 @@
         };
         let (head, metadata, is_reusable) = match result {
             Ok(Ok((head, metadata, is_reusable))) => (head, metadata, is_reusable && !is_tunnel),
+            Ok(Err(h1::Error::Unsolicited)) => {
+                self.sent_count -= 1;
+                if is_kept {
+                    upstream.close_idle();
+                    return Err(Failure::Unsolicited);
+                }
+                return Err(Failure::Connect(ErrorKind::InvalidData.into()));
+            }
             Ok(Err(error)) => return Err(Failure::Exchange(error)),
             Err(_) => {
                 // Open connections can go silent together, and each would cost a request as much.
@@ -634,12 +650,16 @@
     }
 
     /// Sends the request and reads the head of its answer, skipping answers to earlier ones.
+    ///
+    /// On a connection that has carried an earlier request, only an answer that names this one
+    /// counts: any other may have been written for the earlier one, and tells nothing of this one.
     async fn exchange(
         &self,
         upstream: &Upstream,
         conn: &mut Conn,
         message: &[u8],
     ) -> Result<(Response, Metadata, bool), h1::Error> {
+        let is_kept = conn.is_used();
         let (mut head, mut is_whole) = conn.exchange(message, &self.body, MAX_HEAD_BYTES).await?;
         if self.head.method == "HEAD" {
             // The length is that of the body that a GET would return; none follows.
@@ -655,18 +675,23 @@
             // Something that is no upstream need not repeat the id of the request.
             let is_stranger =
                 !metadata.is_signed && !metadata.is_not_run && !upstream.has_signed.get();
-            if metadata.matches_request || is_stranger {
+            let is_own = match metadata.subject {
+                Subject::Named => true,
+                Subject::Unnamed => !is_kept && is_first,
+                Subject::Other => false,
+            };
+            if is_stranger || is_own {
                 let is_reusable = is_whole && is_first && head.keep_alive;
                 return Ok((head, metadata, is_reusable));
             }
-            if !is_whole {
+            if !is_whole || metadata.subject == Subject::Unnamed {
                 break;
             }
             conn.read_body(head.framing, MAX_STALE_BODY_BYTES, None).await?;
             is_first = false;
             (head, is_whole) = conn.exchange(&[], &[], MAX_HEAD_BYTES).await?;
         }
-        Err(h1::Error::Malformed("the answer belongs to another request"))
+        Err(h1::Error::Malformed("no answer names the request"))
     }
 
     /// Applies what an answer states about its upstream.
@@ -728,6 +753,7 @@
             | Failure::Evacuated
             | Failure::Cold
             | Failure::NoPath
+            | Failure::Unsolicited
             | Failure::PathLost => {}
             Failure::Exchange(_)
             | Failure::Timeout
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -279,7 +279,7 @@
             h1::Error::Malformed(_) | h1::Error::HeadTooLarge(_) => {
                 Some(Refusal::not_run(400, "malformed_body"))
             }
-            h1::Error::UnexpectedEof | h1::Error::Io(_) => None,
+            h1::Error::UnexpectedEof | h1::Error::Unsolicited | h1::Error::Io(_) => None,
         })
     }
 
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -520,9 +520,12 @@
         self.idle.borrow_mut().clear();
     }
 
-    /// Closes the idle connections whose lifetime has ended.
-    pub fn close_expired(&self, now: Duration) {
-        self.idle.borrow_mut().retain(|idle| now < idle.expires_at);
+    /// Closes the idle connections whose lifetime has ended or that have brought bytes unasked.
+    ///
+    /// Those that the upstream has closed stay, since [`Self::has_lost_idle`] learns from them.
+    pub fn close_unusable(&self, now: Duration) {
+        let mut idle = self.idle.borrow_mut();
+        idle.retain_mut(|idle| now < idle.expires_at && !idle.conn.has_unsolicited());
     }
 }
 
--- a/crates/h1/src/conn.rs
+++ b/crates/h1/src/conn.rs
@@ -64,6 +64,8 @@
     frames: Option<frame::Decoder>,
     /// Size of the buffer of the body that is being read.
     body_capacity: usize,
+    /// Whether a request was sent on the connection.
+    is_used: bool,
     /// Observer of the held bytes; `None` if nobody accounts for them.
     gauge: Option<Rc<dyn Gauge>>,
 }
@@ -86,6 +88,7 @@
             unpaused_bytes: 0,
             frames: None,
             body_capacity: 0,
+            is_used: false,
             gauge: None,
         })
     }
@@ -309,12 +312,25 @@
         std::future::pending::<()>().await;
     }
 
+    /// Returns true if the peer has sent bytes that are not decoded yet.
+    pub fn has_unsolicited(&mut self) -> bool {
+        !self.input.is_empty() || matches!(self.try_read(), Ok(1..))
+    }
+
     /// Returns true if the connection is open and the peer has sent no unread bytes.
     pub fn is_idle(&mut self) -> bool {
         self.input.is_empty()
             && matches!(self.try_read(), Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Returns true once [`Self::exchange`] has begun to send a request.
+    ///
+    /// From then on, a response may belong to an earlier request.
+    #[must_use]
+    pub fn is_used(&self) -> bool {
+        self.is_used
+    }
+
     /// Writes all bytes; waits while the send buffer is full.
     ///
     /// # Errors
@@ -356,17 +372,25 @@
     /// `body` follows `head`; they are separate so that the body need not be copied.
     ///
     /// The flag is false if the response began before the whole request was written; such a
-    /// connection must not be reused. Interim responses are skipped.
+    /// connection must not be reused. Interim responses are skipped. With an empty `head`, the next
+    /// response to the last request is read.
     ///
     /// # Errors
     ///
-    /// Returns an error if the connection closes or fails, or the response is malformed.
+    /// Returns [`Error::Unsolicited`] if the peer has sent bytes or closed before anything was
+    /// written, and another error if the connection closes or fails, or the response is malformed.
     pub async fn exchange(
         &mut self,
         mut head: &[u8],
         mut body: &[u8],
         max_head_bytes: usize,
     ) -> Result<(Response, bool), Error> {
+        let is_request = !head.is_empty();
+        let mut is_unsent = is_request;
+        self.is_used |= is_request;
+        if is_request && !self.input.is_empty() {
+            return Err(Error::Unsolicited);
+        }
         let mut is_write_broken = false;
         let mut interim_responses = 0;
         loop {
@@ -389,6 +413,9 @@
             let ready = self.socket.ready(interest).await?;
             if ready.is_readable() {
                 match self.try_read() {
+                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                    // What has arrived before the request is no response to it.
+                    _ if is_unsent => return Err(Error::Unsolicited),
                     Ok(0) => return Err(Error::UnexpectedEof),
                     Ok(_) => {}
                     Err(error) => return Err(error.into()),
@@ -398,6 +425,7 @@
                 let parts = [IoSlice::new(head), IoSlice::new(body)];
                 match self.socket.try_write_vectored(&parts) {
                     Ok(count) => {
+                        is_unsent = false;
                         Traffic::record(0, count);
                         let head_count = count.min(head.len());
                         head.advance(head_count);
--- a/crates/h1/src/error.rs
+++ b/crates/h1/src/error.rs
@@ -16,6 +16,9 @@
     /// The body exceeds the limit, which is given in bytes.
     #[error("the body is larger than {0} bytes")]
     BodyTooLarge(usize),
+    /// The peer had sent bytes before the request, of which nothing was sent therefore.
+    #[error("the peer sent bytes before the request")]
+    Unsolicited,
     /// The peer sent nothing for the idle timeout within a body.
     #[error("the peer sent no data within the timeout")]
     IdleTimeout,
--- a/crates/h1/tests/connections.rs
+++ b/crates/h1/tests/connections.rs
@@ -8,6 +8,7 @@
 
 use h1::{Body, Conn, Error, Framing};
 use rustix::net::sockopt;
+use test_case::test_case;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::timeout;
@@ -121,3 +122,22 @@
     let error = body.expect_err("the body has no end");
     assert!(is_reset(&error), "{error}");
 }
+
+/// Guards against an answer that arrived before its request was sent, and thus belongs to another.
+#[test_case(b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"; "an answer")]
+#[test_case(b"HTTP/1.1 100 Continue\r\n\r\n"; "an interim answer")]
+#[test_case(b"H"; "the first byte of an answer")]
+#[tokio::test]
+async fn an_exchange_sends_nothing_after_bytes_that_came_unasked(bytes: &[u8]) {
+    let (mut conn, mut peer) = connect().await;
+    peer.write_all(bytes).await.expect("an open connection");
+    tokio::time::sleep(ARRIVAL_TIME).await;
+    let exchanging = conn.exchange(b"request", &[], MAX_HEAD_BYTES);
+    let result = timeout(USER_TIMEOUT, exchanging).await.expect("the exchange ends");
+    assert!(matches!(result, Err(Error::Unsolicited)), "{result:?}");
+    drop(conn);
+    let mut received = Vec::new();
+    // A close with unread bytes resets the connection.
+    peer.read_to_end(&mut received).await.unwrap_or_default();
+    assert!(received.is_empty(), "{received:?}");
+}
