Bound what answers without an end hold together

Cause: one answer is bounded by 2 MB and one event by 256 KB, but 300 of them together are not. Events that are not complete were not in the account of held bytes at all.

Change: answers above 32 KB that arrive have a bound of their own, a quarter of that of large bodies, and streams with an incomplete event above 16 KB count there and may give way.

Heads, interim answers, chunks, stated lengths and what nobody reads were bounded before.

--- a/crates/front/src/memory.rs
+++ b/crates/front/src/memory.rs
@@ -34,6 +34,14 @@
 const MIN_LARGE_BYTES: usize = 9 << 20;
 /// Bytes above which a holder is large; ordinary bodies have up to 100,000.
 const LARGE_BYTES: usize = 256 << 10;
+/// Bytes above which an answer that arrives is large; ordinary ones have less than a KB.
+///
+const LARGE_ANSWER_BYTES: usize = 32 << 10;
+/// Part of the bound on large holders that large answers may have together while they arrive.
+///
+/// Upstreams that send without an end fill memory as fast as the allocator returns it: with the whole
+/// bound, 300 of their answers took 100 MB of resident memory.
+const LARGE_ANSWERS_DIVISOR: usize = 4;
 /// Smallest bound on held bytes, so that a request of the largest size still fits.
 const MIN_BYTES: usize = 12 << 20;
 /// Descriptors of the machine that are reserved for files.
@@ -97,6 +105,19 @@
         }
     }
 
+    /// Returns the bound on the bytes of large answers while they arrive.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let bounds = front::memory::Bounds::for_callers(88_000_000, 3_075);
+    /// assert_eq!(bounds.large_answer_bytes(), 2_843_750);
+    /// ```
+    #[must_use]
+    pub fn large_answer_bytes(&self) -> usize {
+        self.large_bytes / LARGE_ANSWERS_DIVISOR
+    }
+
     /// Returns the bounds for the readiness, directory and metrics addresses together.
     #[must_use]
     pub fn for_auxiliary(file_descriptors: usize) -> Self {
@@ -181,6 +202,8 @@
 struct Entry {
     phase: Phase,
     bytes: usize,
+    /// Bytes of an answer that arrives, which `bytes` includes.
+    answer_bytes: usize,
     descriptors: usize,
     /// Bytes received since the last progress.
     received: usize,
@@ -212,6 +235,7 @@
     entries: SlotMap<Id, Entry>,
     bytes: usize,
     large_bytes: usize,
+    large_answer_bytes: usize,
     descriptors: usize,
     /// Descriptors of the holders that have been told to give way.
     leaving_descriptors: usize,
@@ -239,6 +263,7 @@
             entries: SlotMap::with_key(),
             bytes: 0,
             large_bytes: 0,
+            large_answer_bytes: 0,
             descriptors: 0,
             leaving_descriptors: 0,
         }
@@ -258,6 +283,7 @@
         Some(self.entries.insert(Entry {
             phase: Phase::Idle,
             bytes: CONNECTION_BYTES,
+            answer_bytes: 0,
             descriptors: 1,
             received: 0,
             progress_at: now,
@@ -269,6 +295,7 @@
     /// Removes a holder whose connection has been closed.
     pub fn remove(&mut self, id: Id) {
         self.count_bytes(id, 0);
+        self.set_answer_bytes(id, 0);
         if let Some(entry) = self.entries.remove(id) {
             self.descriptors -= entry.descriptors;
             if entry.is_leaving {
@@ -292,6 +319,17 @@
         }
     }
 
+    /// Sets how many of a holder's bytes belong to an answer that arrives.
+    pub fn set_answer_bytes(&mut self, id: Id, bytes: usize) {
+        let Some(entry) = self.entries.get_mut(id).filter(|entry| !entry.is_leaving) else {
+            return;
+        };
+        let large = |bytes: usize| if bytes > LARGE_ANSWER_BYTES { bytes } else { 0 };
+        self.large_answer_bytes =
+            self.large_answer_bytes - large(entry.answer_bytes) + large(bytes);
+        entry.answer_bytes = bytes;
+    }
+
     /// Sets what a holder is doing; a request that runs has a descriptor at its upstream as well.
     pub fn set_phase(&mut self, id: Id, phase: Phase, now: Duration) {
         let Some(entry) = self.entries.get_mut(id).filter(|entry| !entry.is_leaving) else {
@@ -329,6 +367,7 @@
     pub fn is_exceeded(&self) -> bool {
         self.bytes > self.bounds.bytes
             || self.large_bytes > self.bounds.large_bytes
+            || self.large_answer_bytes > self.bounds.large_answer_bytes()
             || self.descriptors - self.leaving_descriptors > self.bounds.descriptors
     }
 
@@ -337,13 +376,24 @@
     /// The bounds stay exceeded if only requests that run are left.
     pub fn relieve(&mut self, now: Duration) -> Vec<Eviction> {
         let mut evictions = Vec::new();
+        let relieved = |bound: usize| bound - bound / RELIEF_DIVISOR;
+        if self.large_answer_bytes > self.bounds.large_answer_bytes() {
+            let limit = relieved(self.bounds.large_answer_bytes());
+            let is_large = |entry: &Entry| entry.answer_bytes > LARGE_ANSWER_BYTES;
+            let has_room = |account: &Self| account.large_answer_bytes <= limit;
+            self.relieve_memory(is_large, has_room, now, &mut evictions);
+        }
         if self.large_bytes > self.bounds.large_bytes {
-            let limit = self.bounds.large_bytes - self.bounds.large_bytes / RELIEF_DIVISOR;
-            self.relieve_memory(true, limit, now, &mut evictions);
+            let limit = relieved(self.bounds.large_bytes);
+            let is_large = |entry: &Entry| entry.bytes > LARGE_BYTES;
+            let has_room = |account: &Self| account.large_bytes <= limit;
+            self.relieve_memory(is_large, has_room, now, &mut evictions);
         }
         if self.bytes > self.bounds.bytes {
-            let limit = self.bounds.bytes - self.bounds.bytes / RELIEF_DIVISOR;
-            self.relieve_memory(false, limit, now, &mut evictions);
+            let limit = relieved(self.bounds.bytes);
+            let is_holding = |entry: &Entry| entry.bytes > CONNECTION_BYTES;
+            let has_room = |account: &Self| account.bytes <= limit;
+            self.relieve_memory(is_holding, has_room, now, &mut evictions);
         }
         if self.descriptors - self.leaving_descriptors > self.bounds.descriptors {
             self.relieve_descriptors(now, &mut evictions);
@@ -353,19 +403,18 @@
 
     fn relieve_memory(
         &mut self,
-        is_large: bool,
-        limit: usize,
+        is_candidate: impl Fn(&Entry) -> bool,
+        has_room: impl Fn(&Self) -> bool,
         now: Duration,
         evictions: &mut Vec<Eviction>,
     ) {
-        let min_bytes = if is_large { LARGE_BYTES } else { CONNECTION_BYTES };
         let candidates = self.entries.iter();
         let candidates = candidates
-            .filter(|(_, entry)| entry.may_leave() && entry.bytes > min_bytes)
+            .filter(|(_, entry)| entry.may_leave() && is_candidate(entry))
             .map(|(id, entry)| (entry.memory_weight(now), id));
         let mut candidates: Vec<(u128, Id)> = candidates.collect();
         candidates.sort_unstable();
-        while (if is_large { self.large_bytes } else { self.bytes }) > limit {
+        while !has_room(self) {
             let Some((_, id)) = candidates.pop() else { return };
             evictions.extend(self.evict(id, Resource::Memory, now));
         }
@@ -391,6 +440,7 @@
         let entry = self.entries.get(id)?;
         let (phase, bytes, stalled) = (entry.phase, entry.bytes, entry.stalled(now));
         self.count_bytes(id, 0);
+        self.set_answer_bytes(id, 0);
         let entry = self.entries.get_mut(id)?;
         entry.is_leaving = true;
         self.leaving_descriptors += entry.descriptors;
--- a/crates/front/src/memory/holder.rs
+++ b/crates/front/src/memory/holder.rs
@@ -18,6 +18,9 @@
 /// A crowd makes thousands of them give way in a second.
 const LOG_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Bytes of an incomplete event above which its stream may have to give way.
+const LARGE_EVENT_BYTES: usize = 16 << 10;
+
 /// An account whose holders are connections of this thread.
 #[derive(Debug)]
 pub struct Registry {
@@ -54,6 +57,10 @@
     signal: Rc<Signal>,
     /// Bytes of the input, of the request that runs, and of its answer.
     parts: Cell<[usize; 3]>,
+    /// Whether an answer, or an event of a stream, is not complete.
+    is_answer_arriving: Cell<bool>,
+    /// Whether an incomplete event of a stream is held that is larger than ordinary ones.
+    has_large_event: Cell<bool>,
 }
 
 /// Gauge of the connection on which a holder's answer arrives.
@@ -85,7 +92,14 @@
         let signal = Rc::new(Signal::default());
         self.signals.borrow_mut().insert(id, Rc::clone(&signal));
         self.relieve(now);
-        Some(Rc::new(Holder { registry: Rc::clone(self), id, signal, parts: Cell::default() }))
+        Some(Rc::new(Holder {
+            registry: Rc::clone(self),
+            id,
+            signal,
+            parts: Cell::default(),
+            is_answer_arriving: Cell::default(),
+            has_large_event: Cell::default(),
+        }))
     }
 
     fn relieve(&self, now: Duration) {
@@ -124,6 +138,8 @@
     /// Begins the wait for the next request, with `buffered` bytes of it in the input buffer.
     pub fn begin_wait(&self, buffered: usize) {
         self.parts.set([buffered, 0, 0]);
+        self.has_large_event.set(false);
+        self.is_answer_arriving.set(false);
         self.report(0);
         self.set_phase(if buffered == 0 { Phase::Idle } else { Phase::Receiving });
     }
@@ -137,12 +153,14 @@
 
     /// Begins to receive or send a whole answer.
     pub fn begin_answer(&self) {
+        self.is_answer_arriving.set(true);
         self.set_phase(Phase::Answering);
     }
 
     /// Notes that the request is not sent again, so that only `answer` bytes are held for it.
     pub fn release_request(&self, answer: usize) {
         let [input, ..] = self.parts.get();
+        self.is_answer_arriving.set(false);
         self.parts.set([input, 0, answer]);
         self.report(0);
     }
@@ -152,8 +170,25 @@
         self.set_part(Part::Answer, bytes, 0);
     }
 
+    /// Notes the size of an event of a stream that is not complete.
+    ///
+    /// Above a size that no ordinary event has, the stream may have to give way.
+    pub fn record_partial_event(&self, bytes: usize) {
+        let is_large = bytes > LARGE_EVENT_BYTES;
+        let was_large = self.has_large_event.replace(is_large);
+        if is_large && !was_large {
+            self.begin_answer();
+        } else if was_large && !is_large {
+            self.resume_run();
+        }
+        if is_large {
+            self.set_part(Part::Answer, bytes, 0);
+        }
+    }
+
     /// Resumes the run of a request whose answer broke off.
     pub fn resume_run(&self) {
+        self.is_answer_arriving.set(false);
         self.set_part(Part::Answer, 0, 0);
         self.set_phase(Phase::Running);
     }
@@ -188,9 +223,14 @@
     }
 
     fn report(&self, received: usize) {
-        let bytes = self.parts.get().iter().sum();
+        let parts = self.parts.get();
         let now = self.registry.clock.now();
-        self.registry.account.borrow_mut().set_bytes(self.id, bytes, received, now);
+        let mut account = self.registry.account.borrow_mut();
+        account.set_bytes(self.id, parts.iter().sum(), received, now);
+        let is_arriving = self.is_answer_arriving.get();
+        let answer_bytes = if is_arriving { parts[Part::Answer as usize] } else { 0 };
+        account.set_answer_bytes(self.id, answer_bytes);
+        drop(account);
         self.registry.relieve(now);
     }
 }
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -372,7 +372,14 @@
                         "upstream" => self.answer.flight.upstream().entry.id.as_ref(),
                         "last_event" => self.last_event_id);
                 }
-                Err(Interruption::PathLost | Interruption::Overfull) => {
+                Err(Interruption::Overfull) if !self.has_begun => {
+                    let refusal = Refusal::unknown(502, "overfull");
+                    return write_refusal(self.call, conn, &refusal, false).await;
+                }
+                Err(Interruption::Overfull) => {
+                    return self.end("overfull in stream", Delivery::Incomplete);
+                }
+                Err(Interruption::PathLost) => {
                     info!(self.call.front.log, "stream hangs";
                         "request" => self.call.params.request_id.as_ref(),
                         "upstream" => self.answer.flight.upstream().entry.id.as_ref(),
@@ -446,6 +453,7 @@
                     Err(Interruption::Upstream(h1::Error::UnexpectedEof))
                 };
             }
+            self.call.holder.record_partial_event(self.decoder.pending_bytes());
             if self.decoder.pending_bytes() > MAX_EVENT_BYTES {
                 let error = h1::Error::Malformed("an event is too large");
                 return Err(Interruption::Upstream(error));
@@ -458,6 +466,7 @@
             }
             tokio::select! {
                 biased;
+                _ = self.call.holder.wait_evicted() => return Err(Interruption::Overfull),
                 more = self.answer.conn.fill_body(&mut self.body) =>
                     more.map_err(Interruption::Upstream)?,
                 () = conn.wait_closed() => return Err(Interruption::CallerGone),
--- a/crates/front/tests/memory.rs
+++ b/crates/front/tests/memory.rs
@@ -155,3 +155,35 @@
     receive(&mut account, 2 * BODY_LIMIT, at(0));
     assert!(!account.is_exceeded());
 }
+
+/// Guards against upstreams whose answers have no end, and take the memory of other callers.
+#[test]
+fn answers_without_an_end_give_way_before_requests() {
+    let mut account = Account::open(BOUNDS);
+    let bodies: HashSet<Id> = (0..100).map(|_| receive(&mut account, 100_000, at(0))).collect();
+    let mut gone = HashSet::new();
+    for step in 0..300 {
+        let id = receive(&mut account, 0, at(step));
+        account.set_phase(id, Phase::Running, at(step));
+        account.set_phase(id, Phase::Answering, at(step));
+        account.set_bytes(id, 256 << 10, 256 << 10, at(step));
+        account.set_answer_bytes(id, 256 << 10);
+        gone.extend(evicted(&mut account, at(step)));
+    }
+    assert!(gone.is_disjoint(&bodies), "requests gave way");
+    let held = (300 - gone.len()) * (256 << 10);
+    assert!(held <= BOUNDS.large_answer_bytes(), "{held} bytes of answers are left");
+}
+
+/// Guards against a bound on answers that ordinary ones reach.
+#[test]
+fn hundreds_of_ordinary_answers_arrive_together() {
+    let mut account = Account::open(BOUNDS);
+    for step in 0..450 {
+        let id = receive(&mut account, 0, at(step));
+        account.set_phase(id, Phase::Answering, at(step));
+        account.set_bytes(id, 16 << 10, 16 << 10, at(step));
+        account.set_answer_bytes(id, 16 << 10);
+    }
+    assert_eq!(account.relieve(at(500)), []);
+}
