Answer each request that is taken in a planned stop

Callers saw: requests that came late in the grace period were passed on and cut off without an answer.

Cause: the end of the admission was set by a loop every 50 ms; the time of admission did not depend on the grace period; and at its end the process left without a word.

Change: stop::Schedule decides at each request, by the clock: requests are admitted for three eighths of the grace period, 2.9 s at most, and those that must not be repeated only if their deadline is before the end. At the end, requests without an answer get one: 502 with the outcome unknown if they were sent, 503 if not.

Requests that have time to end are served as before.

--- a/crates/front/src/connect.rs
+++ b/crates/front/src/connect.rs
@@ -256,7 +256,7 @@
         incarnation: Incarnation,
     ) -> Result<(Conn, bool), Obstacle> {
         let is_full = self.tunnels.as_ref().is_none_or(|tunnels| tunnels.exit.is_full());
-        if is_full || self.stopping_since.get().is_some() {
+        if is_full || self.stop.has_begun() {
             return Err(Obstacle::Busy);
         }
         let upstream = self
--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -22,6 +22,7 @@
 use crate::fleet::Selection;
 use crate::memory::Holder;
 use crate::proof::Proof;
+use crate::serve::STOPPING;
 use crate::upstream::{Entry, Flight, Upstream};
 use crate::{Front, Params, Refusal};
 
@@ -206,7 +207,7 @@
         let mut suspects = vec![suspect::request_id(account_name, &head.target, &body)];
         suspects.extend(params.shared_part_ids());
         let output_tokens = front.fleet.expected_output(&route.name, account.as_ref(), &params);
-        let time_limit = params.timeout.map_or(route.timeout, |time| time.min(route.timeout));
+        let time_limit = params.time_limit(&route);
         Self {
             front: Rc::clone(front),
             routing,
@@ -829,6 +830,12 @@
         }
     }
 
+    /// Returns the refusal of a request that the end of a planned stop has interrupted.
+    #[must_use]
+    pub fn stopped_refusal(&self) -> Refusal {
+        if self.sent_count > 0 { Refusal::unknown(502, "instance_stopped") } else { STOPPING }
+    }
+
     /// Returns the time after which an upstream may have room for the request.
     fn unavailable_retry(&self) -> Duration {
         let wait = self.front.fleet.wait(&self.service, self.front.clock.now());
--- a/crates/front/src/params.rs
+++ b/crates/front/src/params.rs
@@ -1,6 +1,7 @@
 //! Parameters of a request, as its head states them.
 
 use base::prelude::*;
+use plan::routing::Route;
 use route::prefix::{self, Hash};
 
 /// A part of a prompt that an upstream may have cached.
@@ -51,6 +52,12 @@
         self.generation.map_or(0, |size| size.prompt_tokens.saturating_add(size.max_output_tokens))
     }
 
+    /// Returns the longest time that a request may take on a route.
+    #[must_use]
+    pub fn time_limit(&self, route: &Route) -> Duration {
+        self.timeout.map_or(route.timeout, |time| time.min(route.timeout))
+    }
+
     /// Returns true if the caller already has events of the stream.
     #[must_use]
     pub fn is_resumption(&self) -> bool {
--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -65,6 +65,8 @@
     Overfull,
     Deadline,
     CallerGone,
+    /// The instance stops, and its grace period ends.
+    Stopped,
 }
 
 /// Why an interrupted stream does not resume.
@@ -95,19 +97,21 @@
         Ok(last_event_id) => last_event_id,
         Err(refusal) => return write_refusal(call, conn, &refusal, keep_open).await,
     };
+    let front = Rc::clone(&call.front);
     loop {
         let answer = {
             let time_left = call.time_left() + DEADLINE_GRACE;
             tokio::select! {
                 biased;
-                answer = call.send(last_event_id) => answer,
+                answer = call.send(last_event_id) => Some(answer),
                 () = conn.wait_closed() => {
                     return abandon(call, "before the answer");
                 }
-                () = sleep(time_left) => Err(Refusal::unknown(504, "deadline_exceeded")),
+                () = sleep(time_left) => Some(Err(Refusal::unknown(504, "deadline_exceeded"))),
+                () = front.stop.wait_ended() => None,
             }
         };
-        let answer = match answer {
+        let answer = match answer.unwrap_or_else(|| Err(call.stopped_refusal())) {
             Ok(answer) => answer,
             Err(refusal) => return write_refusal(call, conn, &refusal, keep_open).await,
         };
@@ -133,6 +137,10 @@
             Err(Interruption::Overfull) => {
                 return write_refusal(call, conn, &Refusal::unknown(502, "overfull"), false).await;
             }
+            Err(Interruption::Stopped) => {
+                let refusal = call.stopped_refusal();
+                return write_refusal(call, conn, &refusal, false).await;
+            }
             Err(interruption) => {
                 call.holder.resume_run();
                 call.may_have_run = true;
@@ -168,6 +176,7 @@
         () = conn.wait_closed() => return Err(Interruption::CallerGone),
         () = flight.wait_cut_off(), if call.can_go_on() => return Err(Interruption::PathLost),
         () = sleep(call.time_left() + DEADLINE_GRACE) => return Err(Interruption::Deadline),
+        () = call.front.stop.wait_ended() => return Err(Interruption::Stopped),
     };
     upstream.set_gauge(None);
     if is_reusable {
@@ -361,6 +370,13 @@
                 Err(Interruption::Deadline) => {
                     return self.end("deadline in stream", Delivery::Incomplete);
                 }
+                Err(Interruption::Stopped) if !self.has_begun => {
+                    let refusal = self.call.stopped_refusal();
+                    return write_refusal(self.call, conn, &refusal, keep_open).await;
+                }
+                Err(Interruption::Stopped) => {
+                    return self.end("stopped in stream", Delivery::Incomplete);
+                }
                 Err(Interruption::Upstream(error)) => {
                     let now = self.call.front.clock.now();
                     self.answer.flight.upstream().record_failure(now);
@@ -408,6 +424,7 @@
             return Err(ResumeError::Refused(Refusal::unknown(502, "upstream_broke_off")));
         }
         let (last_event_id, time_left) = (self.last_event_id, self.call.time_left());
+        let front = Rc::clone(&self.call.front);
         let answer = tokio::select! {
             biased;
             result = self.call.send(last_event_id) => result.map_err(ResumeError::Refused)?,
@@ -415,6 +432,9 @@
             () = sleep(time_left) => {
                 return Err(ResumeError::Refused(Refusal::unknown(504, "deadline_exceeded")));
             }
+            () = front.stop.wait_ended() => {
+                return Err(ResumeError::Refused(self.call.stopped_refusal()));
+            }
         };
         if answer.head.status != 200 {
             return Err(ResumeError::NotAStream);
@@ -474,6 +494,7 @@
                     return Err(Interruption::PathLost);
                 }
                 () = sleep(time_left) => return Err(Interruption::Deadline),
+                () = self.call.front.stop.wait_ended() => return Err(Interruption::Stopped),
             }
         }
     }
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -9,7 +9,7 @@
 use futures::FutureExt;
 use h1::{Body, Conn, Request, Traffic};
 use ledger::escrow::{Escrow, Fault, Reservation};
-use plan::routing::{Route, Table};
+use plan::routing::{Kind, Route, Table};
 use route::origin::Origins;
 use route::path::Path;
 use route::poison::suspect::Suspects;
@@ -26,6 +26,7 @@
 use crate::metric::Metrics;
 use crate::relay::{self, Delivery};
 use crate::roster::Roster;
+use crate::stop::Stop;
 use crate::{Codec, Fleet, Params, Refusal};
 
 /// Retry delay at an instance that has no configuration yet.
@@ -34,8 +35,9 @@
 const ELSEWHERE_RETRY: Duration = Duration::from_millis(1_600);
 /// Shortest retry delay in a store outage; an earlier retry would probably fail too.
 const MIN_OUTAGE_RETRY: Duration = Duration::from_secs(2);
-/// Retry delay at a stopping instance; another one can serve at once.
-const STOPPING_RETRY: Duration = Duration::from_millis(100);
+/// Refusal at a stopping instance; another one can serve at once.
+pub(crate) const STOPPING: Refusal =
+    Refusal::not_run(503, "stopping").retry_after(Duration::from_millis(100));
 /// Shortest retry delay while the link of this instance is saturated.
 const LINK_RETRY: Duration = Duration::from_millis(500);
 /// Longest time for a write to a caller that does not read.
@@ -97,10 +99,8 @@
     pub memory: Rc<Registry>,
     /// Number of requests whose head has been read and whose answer has not ended.
     pub in_flight_requests: Cell<usize>,
-    /// Time at which the stop began; `None` while no stop is planned.
-    pub stopping_since: Cell<Option<Duration>>,
-    /// Whether new requests are refused while a stop drains those in flight.
-    pub is_draining: Cell<bool>,
+    /// Planned stop of the instance.
+    pub stop: Stop,
 }
 
 /// What happens to the caller's connection after a request.
@@ -136,7 +136,7 @@
     #[must_use]
     pub fn may_keep_connection(&self, head: &Request) -> bool {
         head.keep_alive
-            && self.stopping_since.get().is_none()
+            && !self.stop.has_begun()
             && rand::random::<f64>() >= self.roster.close_ratio()
     }
 
@@ -199,7 +199,7 @@
                 return self.refuse(conn, &head, None, &refusal, arrival, may_keep).await;
             }
         };
-        if let Err(refusal) = self.check_head(&table, &head, &params) {
+        if let Err(refusal) = self.check_head(&table, &head, &params, arrival) {
             let may_keep = refusal.retry_after.is_none() && skip_body(conn, &head);
             return self.refuse(conn, &head, Some(&params), &refusal, arrival, may_keep).await;
         }
@@ -289,15 +289,21 @@
         table: &Table,
         head: &Request,
         params: &Params,
+        arrival: Duration,
     ) -> Result<(Arc<Route>, Option<AccountId>), Refusal> {
         if table.version == 0 {
             return Err(Refusal::not_run(503, "not_configured").retry_after(STARTING_RETRY));
         }
-        if self.is_draining.get() {
-            return Err(Refusal::not_run(503, "stopping").retry_after(STOPPING_RETRY));
+        let now = self.clock.now();
+        if !self.stop.admits(now, None) {
+            return Err(STOPPING);
         }
         let host = head.fields.get("host").unwrap_or_default();
         let route = table.find_route(host, head.path()).ok_or(Refusal::not_run(404, "no_route"))?;
+        let deadline = arrival + params.time_limit(route);
+        if route.kind == Kind::NonIdempotent && !self.stop.admits(now, Some(deadline)) {
+            return Err(STOPPING);
+        }
         let key_account = params.api_key.as_ref().and_then(|key| table.accounts_by_key.get(key));
         let needs_key = !table.accounts.is_empty() && !route.allows_anonymous;
         if needs_key && key_account.is_none() {
@@ -314,7 +320,7 @@
         body_len: usize,
         arrival: Duration,
     ) -> Result<(Arc<Route>, Option<AccountId>, Option<Reservation>), Refusal> {
-        let (route, account) = self.check_head(table, head, params)?;
+        let (route, account) = self.check_head(table, head, params, arrival)?;
         let mut targets = route.targets.iter().filter(|target| target.weight > 0).peekable();
         if targets.peek().is_some()
             && targets.all(|target| self.fleet.is_service_evacuated(&target.service))
