Read the answers of lacewingd's upstreams and of its store with h1

Callers saw (shown by tests only): the statuses 600 and 999, 101 and a lone 100 as answers; an empty body for a whole one, if an answer of HTTP/1.1 has no length; the answer to another caller's request, if an upstream repeats it on a kept connection; 'not-run' of requests that had run, if it repeats a refusal there; an instance that spins for minutes on an event, interim answers or a chunk extension without end.

Cause: the HTTP client of the chain takes what it gets, and the published protocols name no request in an answer, so that nothing tells a repeated answer on a kept connection from the one that is due.

Change: h1::client sends each request of the chain and each poll of an upstream on a connection of its own; the store's client keeps its connections.

Names of fields, 000, 099, heads without end and resets during an upload were handled before.

--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -30,20 +30,14 @@
     ///
     /// `root_digest` is the SHA-256 of the root operator's key, `None` if there is no such
     /// operator. `on_confirm` is notified of each confirmation.
-    ///
-    /// # Panics
-    ///
-    /// Panics if the HTTP client cannot be built, which is a bug.
-    pub async fn open(
+    #[must_use]
+    pub fn open(
         shared: Arc<Shared>,
         settings: &conf::platform::Platform,
         root_digest: Option<String>,
         on_confirm: Arc<Notify>,
     ) -> Rc<Self> {
-        let platform = Platform::open(settings.address, settings.timeout)
-            .await
-            .expect("a client without TLS can be built");
-        let platform = Rc::new(platform);
+        let platform = Rc::new(Platform::open(settings.address, settings.timeout));
         let table = Rc::clone(&platform) as Rc<dyn Table>;
         let planner = Planner::open(table, Arc::clone(&shared.clock));
         Rc::new(Self { shared, platform, planner, root_digest, on_confirm })
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -62,13 +62,7 @@
             crash_record_inbox,
         } = self;
         let platform = &settings.platform;
-        let client = match Platform::open(platform.address, platform.timeout).await {
-            Ok(client) => Rc::new(client),
-            Err(error) => {
-                warn!(shared.log, "cannot open the platform client"; "error" => %error);
-                return;
-            }
-        };
+        let client = Rc::new(Platform::open(platform.address, platform.timeout));
         let table = Rc::clone(&client) as Rc<dyn Table>;
         idem::event::spawn(claims_inbox, Rc::clone(&table));
         ntex::rt::spawn(poison::client::serve(
@@ -78,7 +72,7 @@
             shared.log.clone(),
         ));
         let (fleet, clock) = (Arc::clone(&shared.upstreams), Arc::clone(&shared.clock));
-        let poller = Poller::open(fleet, clock, settings.route.clone(), shared.log.clone()).await;
+        let poller = Poller::open(fleet, clock, settings.route.clone(), shared.log.clone());
         ntex::rt::spawn(poller.run());
         let donor = Rc::new(Responder { shared: Arc::clone(&shared) });
         let endpoint = peer::try_open(&settings, incarnation, &shared, donor);
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -7,6 +7,7 @@
 use base::id;
 use base::prelude::*;
 use conf::Settings;
+use flow::held::Held;
 use flow::in_flight::Counter;
 use flow::queue::Pools;
 use flow::request::Limits;
@@ -229,9 +230,9 @@
     let root = settings.admin.root_digest.clone();
     let http_config = http_config(&settings.limits);
     let server = HttpServer::new(async move || {
-        let worker = Worker::open(Arc::clone(&shared)).await;
+        let worker = Worker::open(Arc::clone(&shared));
         let on_confirm = Arc::clone(&on_confirm);
-        let admin = Admin::open(Arc::clone(&shared), &platform, root.clone(), on_confirm).await;
+        let admin = Admin::open(Arc::clone(&shared), &platform, root.clone(), on_confirm);
         let monitoring =
             monitoring::State { shared: Arc::clone(&shared), leaving: leaving.clone() };
         App::new()
--- a/crates/daemon/src/upstream_poll.rs
+++ b/crates/daemon/src/upstream_poll.rs
@@ -7,21 +7,17 @@
 use base::clock::millis;
 use base::prelude::*;
 use futures::future::join_all;
-use ntex::SharedCfg;
-use ntex::client::{Client, Connector};
-use ntex::time::Millis;
+use h1::client::{self, Request};
 use plan::doc::Kind;
 use route::cache::Batch;
 use route::report::Report;
 use route::{Fleet, Upstream, polling};
 use serde::de::DeserializeOwned;
 use slog::{Logger, debug};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// Longest time of one poll of one upstream.
-const REQUEST_TIMEOUT: Millis = Millis(1_000);
-/// Most connections to the upstreams.
-const MAX_CONNECTIONS: usize = 64;
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 /// Largest answer that is read; a larger one fails the poll.
 const MAX_ANSWER_BYTES: usize = 1 << 20;
 
@@ -34,7 +30,6 @@
     fleet: Arc<Fleet>,
     clock: Arc<dyn Clock>,
     settings: conf::route::Route,
-    client: Client,
     log: Logger,
     load_polled_ms: HashMap<UpstreamId, u64>,
     events_polled_ms: HashMap<UpstreamId, u64>,
@@ -42,37 +37,17 @@
 }
 
 impl Poller {
-    /// Opens the controller, with an HTTP client that belongs to the current thread.
-    ///
-    /// # Panics
-    ///
-    /// Panics if the HTTP client cannot be built, which is a bug.
-    pub async fn open(
+    /// Opens the controller, which has polled no upstream yet.
+    #[must_use]
+    pub fn open(
         fleet: Arc<Fleet>,
         clock: Arc<dyn Clock>,
         settings: conf::route::Route,
         log: Logger,
     ) -> Self {
-        let client = Client::builder()
-            .connector::<()>(Connector::default().limit(MAX_CONNECTIONS))
-            .response_timeout(REQUEST_TIMEOUT)
-            .response_payload_limit(MAX_ANSWER_BYTES)
-            .disable_redirects()
-            .build(SharedCfg::default())
-            .await
-            .expect("a client without TLS can be built");
         let (load_polled_ms, events_polled_ms) = (HashMap::new(), HashMap::new());
         let next_events_at = Duration::ZERO;
-        Self {
-            fleet,
-            clock,
-            settings,
-            client,
-            log,
-            load_polled_ms,
-            events_polled_ms,
-            next_events_at,
-        }
+        Self { fleet, clock, settings, log, load_polled_ms, events_polled_ms, next_events_at }
     }
 
     /// Polls until the thread ends.
@@ -119,10 +94,13 @@
     }
 
     async fn get<T: DeserializeOwned>(&self, upstream: &Upstream, path: &str) -> Option<T> {
-        let url = format!("http://{}{path}", upstream.address);
-        let response = ntex::time::timeout(REQUEST_TIMEOUT, async {
-            let answer = self.client.get(url).send().await.map_err(|error| error.to_string())?;
-            let body = answer.body().await.map_err(|error| error.to_string())?;
+        let request = Request { method: "GET", target: path, fields: &[], body: &[] };
+        // A connection of its own, so that no answer to an earlier poll can be taken for this one.
+        let response = timeout(REQUEST_TIMEOUT, async {
+            let answer = client::send(upstream.address, &request).await;
+            let answer = answer.map_err(|error| error.to_string())?;
+            let body = answer.read_whole(MAX_ANSWER_BYTES, None).await;
+            let body = body.map_err(|error| error.to_string())?;
             serde_json::from_slice(&body).map_err(|error| error.to_string())
         });
         match response.await {
@@ -131,7 +109,7 @@
                 debug!(self.log, "cannot poll an upstream"; "upstream" => %upstream.id, "error" => error);
                 None
             }
-            Err(()) => None,
+            Err(_elapsed) => None,
         }
     }
 }
--- a/crates/flow/src/dispatch.rs
+++ b/crates/flow/src/dispatch.rs
@@ -2,12 +2,9 @@
 
 use base::clock::millis;
 use base::prelude::*;
+use h1::client;
 use idem::claim::End;
-use ntex::client::error::ClientError;
-use ntex::client::{ClientRequest, ClientResponse};
-use ntex::http::Method;
 use ntex::http::StatusCode;
-use ntex::http::header::{AUTHORIZATION, CONTENT_TYPE};
 use route::Ticket;
 use slog::{info, o};
 use tokio::time::{sleep, timeout};
@@ -27,6 +24,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Request header that tells the upstream the client account.
 const ACCOUNT_HEADER: &str = "lacewing-account";
+const AUTHORIZATION: &str = "authorization";
+const CONTENT_TYPE: &str = "content-type";
 /// Longest wait for a durable record; after it, the request is refused.
 const RECORD_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -34,7 +33,9 @@
 #[derive(Debug)]
 pub struct Dispatched {
     /// Head of the answer; its body has not been read.
-    pub response: ClientResponse,
+    pub response: client::Answer,
+    /// Status of the answer.
+    pub status: StatusCode,
     /// Counts the request as in flight at the upstream until dropped.
     pub ticket: Ticket,
     /// Resolves when the record of the request is durable; `None` if it already is.
@@ -61,7 +62,9 @@
         claim.mark_started();
     }
     match attempt_upstreams(worker, exchange).await {
-        Ok((response, ticket)) => Ok(Dispatched { response, ticket, pending_record }),
+        Ok((response, status, ticket)) => {
+            Ok(Dispatched { response, status, ticket, pending_record })
+        }
         Err(refusal) => {
             settle_unanswered(worker, exchange, refusal.outcome);
             Err(refusal)
@@ -108,7 +111,7 @@
 async fn attempt_upstreams(
     worker: &Worker,
     exchange: &Exchange,
-) -> Result<(ClientResponse, Ticket), Refusal> {
+) -> Result<(client::Answer, StatusCode, Ticket), Refusal> {
     let prefix = Prefix::new(exchange);
     let poison_check = Check::open(&worker.shared.crash_records, exchange);
     let mut tried: Vec<UpstreamId> = Vec::new();
@@ -128,17 +131,16 @@
             return Err(may_have_run.unwrap_or(refusal));
         }
         let answer_timeout = remaining.min(worker.shared.upstream_timeout);
-        let failure =
-            match timeout(answer_timeout, send(worker, exchange, &ticket, remaining)).await {
-                Ok(Ok(response)) if !is_rejected(exchange, &response) => {
-                    ticket.record_answer_start();
-                    return Ok((response, ticket));
-                }
-                Ok(Ok(response)) => Failure::Rejected(response.status()),
-                Ok(Err(error)) => Failure::Client(error),
-                Err(_) if answer_timeout == remaining => Failure::DeadlineExceeded,
-                Err(_) => Failure::Timeout,
-            };
+        let failure = match timeout(answer_timeout, send(exchange, &ticket, remaining)).await {
+            Ok(Ok((response, status))) if !is_rejected(exchange, status) => {
+                ticket.record_answer_start();
+                return Ok((response, status, ticket));
+            }
+            Ok(Ok((_, status))) => Failure::Rejected(status),
+            Ok(Err(error)) => Failure::Client(error),
+            Err(_) if answer_timeout == remaining => Failure::DeadlineExceeded,
+            Err(_) => Failure::Timeout,
+        };
         if failure.is_upstream_fault() {
             ticket.record_failure();
         }
@@ -204,44 +206,39 @@
     Refusal::not_run(StatusCode::GATEWAY_TIMEOUT, "deadline_exceeded", message)
 }
 
+/// Sends the request on a connection of its own.
+///
+/// The published protocols name no request in an answer. On a connection that has carried another
+/// request, an answer that is written twice, or late, could not be told from the one that is due.
 async fn send(
-    worker: &Worker,
     exchange: &Exchange,
     ticket: &Ticket,
     remaining: Duration,
-) -> Result<ClientResponse, ClientError> {
+) -> Result<(client::Answer, StatusCode), client::Failure> {
     let upstream = ticket.upstream();
-    let path = match &exchange.call {
+    let target = match &exchange.call {
         Call::Chat(_) => "/v1/chat/completions",
         Call::Service(call) => &call.path,
     };
-    let url = format!("http://{}{path}", upstream.address);
-    let request = worker.client_for(exchange.idempotent).request(exchange.method.clone(), url);
-    let request = set_headers(request, exchange, upstream.token.as_deref())
-        .set_header(TIMEOUT_HEADER, millis(remaining).to_string());
-    if exchange.body.is_empty() && exchange.method == Method::GET {
-        request.send().await
-    } else {
-        request.send_body(exchange.body.clone()).await
-    }
-}
-
-fn set_headers(
-    mut request: ClientRequest,
-    exchange: &Exchange,
-    token: Option<&str>,
-) -> ClientRequest {
-    request = request
-        .set_header(ACCOUNT_HEADER, exchange.caller().account.as_ref())
-        .set_header(REQUEST_ID_HEADER, exchange.request_id.as_ref());
-    if let Some(value) = &exchange.content_type {
-        request = request.set_header(CONTENT_TYPE, value.clone());
-    }
-    if let Some(key) = &exchange.idempotency_key {
-        request = request.set_header(IDEMPOTENCY_KEY_HEADER, key.as_str());
-    }
-    if let Some(token) = token {
-        request = request.set_header(AUTHORIZATION, format!("Bearer {token}"));
-    }
-    request
+    let timeout = millis(remaining).to_string();
+    let authorization = upstream.token.as_ref().map(|token| format!("Bearer {token}"));
+    let mut fields = vec![
+        (ACCOUNT_HEADER, exchange.caller().account.as_bytes()),
+        (REQUEST_ID_HEADER, exchange.request_id.as_bytes()),
+        (TIMEOUT_HEADER, timeout.as_bytes()),
+    ];
+    fields.extend(exchange.content_type.as_ref().map(|value| (CONTENT_TYPE, value.as_bytes())));
+    let key = exchange.idempotency_key.as_ref();
+    fields.extend(key.map(|key| (IDEMPOTENCY_KEY_HEADER, key.as_bytes())));
+    fields.extend(authorization.as_ref().map(|value| (AUTHORIZATION, value.as_bytes())));
+    let request = client::Request {
+        method: exchange.method.as_str(),
+        target,
+        fields: &fields,
+        body: &exchange.body,
+    };
+    let answer = client::send(upstream.address, &request).await?;
+    let status = StatusCode::from_u16(answer.head.status)
+        .map_err(|_invalid| h1::Error::Malformed("the status is none of the protocol"))?;
+    Ok((answer, status))
 }
--- a/crates/flow/src/failure.rs
+++ b/crates/flow/src/failure.rs
@@ -2,8 +2,7 @@
 //!
 //! Each failure tells whether the request can have run and whether the upstream is at fault.
 
-use ntex::client::ClientResponse;
-use ntex::client::error::{ClientError, ConnectError};
+use h1::client;
 use ntex::http::StatusCode;
 use thiserror::Error;
 
@@ -12,9 +11,9 @@
 /// Reason why an attempt at an upstream gave no answer.
 #[derive(Debug, Error)]
 pub enum Failure {
-    /// The HTTP client could not connect, or the connection broke.
+    /// There was no connection, or it broke, or what it brought was no answer.
     #[error(transparent)]
-    Client(#[from] ClientError),
+    Client(#[from] client::Failure),
     /// The head of the answer did not arrive within the upstream timeout.
     #[error("the upstream did not begin its answer in time")]
     Timeout,
@@ -48,29 +47,22 @@
     /// Returns true if the request certainly did not run.
     ///
     /// A connection that closes without an answer proves nothing, since the request was already
-    /// written to it. The HTTP client reports this as a disconnect without a cause.
+    /// written to it.
     ///
     /// # Examples
     ///
     /// ```
     /// use flow::failure::Failure;
-    /// use ntex::client::error::{ClientError, ConnectError};
     /// let refused = std::io::Error::from(std::io::ErrorKind::ConnectionRefused);
-    /// let refused = ClientError::Connect(ConnectError::Disconnected(Some(refused)));
-    /// assert!(Failure::Client(refused).proves_not_run());
-    /// let stale = ClientError::Connect(ConnectError::Disconnected(None));
-    /// assert!(!Failure::Client(stale).proves_not_run());
+    /// assert!(Failure::Client(h1::client::Failure::Unsent(refused)).proves_not_run());
+    /// let closed = h1::client::Failure::Exchange(h1::Error::UnexpectedEof);
+    /// assert!(!Failure::Client(closed).proves_not_run());
     /// ```
     #[must_use]
     pub fn proves_not_run(&self) -> bool {
         match self {
-            Self::Rejected(_) => true,
-            Self::Timeout
-            | Self::DeadlineExceeded
-            | Self::Client(ClientError::Connect(ConnectError::Disconnected(None))) => false,
-            Self::Client(error) => {
-                matches!(error, ClientError::Connect(_) | ClientError::Url(_))
-            }
+            Self::Rejected(_) | Self::Client(client::Failure::Unsent(_)) => true,
+            Self::Timeout | Self::DeadlineExceeded | Self::Client(_) => false,
         }
     }
 }
@@ -79,7 +71,7 @@
 ///
 /// The same status codes from a plain service have no fixed meaning and go to the caller.
 #[must_use]
-pub fn is_rejected(exchange: &Exchange, response: &ClientResponse) -> bool {
+pub fn is_rejected(exchange: &Exchange, status: StatusCode) -> bool {
     let busy = [StatusCode::TOO_MANY_REQUESTS, StatusCode::SERVICE_UNAVAILABLE];
-    matches!(exchange.call, Call::Chat(_)) && busy.contains(&response.status())
+    matches!(exchange.call, Call::Chat(_)) && busy.contains(&status)
 }
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod exchange;
 pub mod failure;
 pub mod fields;
+pub mod held;
 pub mod identify;
 pub mod in_flight;
 pub mod limit;
--- a/crates/flow/src/relay.rs
+++ b/crates/flow/src/relay.rs
@@ -1,12 +1,12 @@
 //! Relay of an upstream's answer to the caller, and the bill for it.
 
 use base::prelude::*;
+use h1::client;
 use idem::Answer;
 use idem::claim::End;
 use ledger::book::Durable;
-use ntex::client::ClientResponse;
 use ntex::http::StatusCode;
-use ntex::http::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderValue};
+use ntex::http::header::HeaderValue;
 use ntex::util::{Bytes, BytesMut};
 use ntex::web::HttpResponse;
 use route::Ticket;
@@ -15,6 +15,7 @@
 
 use crate::dispatch::Dispatched;
 use crate::exchange::{Call, Exchange};
+use crate::held::Share;
 use crate::metrics::Observer;
 use crate::poison::Check;
 use crate::server::Shared;
@@ -50,7 +51,7 @@
     let observer = Observer::open(shared, exchange.caller(), started_at);
     let settlement = Settlement::take(exchange, shared.in_flight.enter())
         .expect("the reserve filter runs before relay");
-    if exchange.is_streamed() && dispatched.response.status() == StatusCode::OK {
+    if exchange.is_streamed() && dispatched.status == StatusCode::OK {
         return Ok(stream::relay(exchange, dispatched, settlement, observer));
     }
     relay_whole(exchange, dispatched, settlement, observer).await
@@ -62,12 +63,13 @@
     settlement: Settlement,
     observer: Observer,
 ) -> Result<HttpResponse, Refusal> {
-    let Dispatched { response, ticket, pending_record } = dispatched;
-    let status = response.status();
-    let content_type = response.header(CONTENT_TYPE).cloned();
+    let Dispatched { response, status, ticket, pending_record } = dispatched;
+    let content_type = response.head.fields.get("content-type");
+    let content_type = content_type.and_then(|value| HeaderValue::from_str(value).ok());
     observer.observe_first_byte();
     let poison_check = Check::open(&observer.shared().crash_records, exchange);
-    let body = match read_answer(&response, observer.time_left(exchange)).await {
+    let share = observer.shared().held.open_share();
+    let body = match read_answer(response, share, observer.time_left(exchange)).await {
         Ok(body) if is_complete(exchange, status, &body) => body,
         Ok(_) => return Err(settle_incomplete(settlement, upstream_broke_off())),
         Err(error) => {
@@ -104,7 +106,7 @@
 
 /// Returns false if an engine's successful answer is not valid JSON.
 ///
-/// Without a content length, a truncated answer looks complete to the HTTP client.
+/// An engine may end a truncated answer in order.
 fn is_complete(exchange: &Exchange, status: StatusCode, body: &[u8]) -> bool {
     match &exchange.call {
         Call::Chat(_) if status == StatusCode::OK => {
@@ -144,12 +146,14 @@
     /// The upstream sent no data for [`IDLE_TIMEOUT`].
     IdleTimeout,
     DeadlineExceeded,
+    /// The unfinished answers of this instance hold too many bytes together.
+    Overfull,
 }
 
 impl ReadError {
     /// Counts the failure against the upstream's health, and reports a possible crash.
     async fn report(self, ticket: &Ticket, poison_check: &Check) {
-        if self != Self::DeadlineExceeded {
+        if !matches!(self, Self::DeadlineExceeded | Self::Overfull) {
             ticket.record_failure();
         }
         if self == Self::Broken {
@@ -158,21 +162,24 @@
     }
 }
 
-async fn read_answer(response: &ClientResponse, left: Duration) -> Result<Bytes, ReadError> {
-    timeout(left, read_chunks(response)).await.unwrap_or(Err(ReadError::DeadlineExceeded))
+async fn read_answer(
+    answer: client::Answer,
+    share: Share,
+    left: Duration,
+) -> Result<Bytes, ReadError> {
+    timeout(left, read_parts(answer, share)).await.unwrap_or(Err(ReadError::DeadlineExceeded))
 }
 
-async fn read_chunks(response: &ClientResponse) -> Result<Bytes, ReadError> {
-    let expected_bytes = content_length(response);
-    let mut payload = response.take_payload();
+async fn read_parts(mut answer: client::Answer, mut share: Share) -> Result<Bytes, ReadError> {
     let mut body = BytesMut::new();
     loop {
-        match timeout(IDLE_TIMEOUT, payload.recv()).await {
-            Ok(None) if expected_bytes.is_none_or(|expected| expected == body.len()) => {
-                return Ok(body.freeze());
-            }
-            Ok(Some(Ok(chunk))) if body.len() + chunk.len() <= MAX_ANSWER_BYTES => {
-                body.extend_from_slice(&chunk);
+        match timeout(IDLE_TIMEOUT, answer.read()).await {
+            Ok(Ok(None)) => return Ok(body.freeze()),
+            Ok(Ok(Some(part))) if body.len() + part.len() <= MAX_ANSWER_BYTES => {
+                body.extend_from_slice(&part);
+                if !share.set(body.len()) {
+                    return Err(ReadError::Overfull);
+                }
             }
             Ok(_) => return Err(ReadError::Broken),
             Err(_) => return Err(ReadError::IdleTimeout),
@@ -180,10 +187,6 @@
     }
 }
 
-fn content_length(response: &ClientResponse) -> Option<usize> {
-    response.header(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
-}
-
 /// Returns the refusal for an answer that the upstream did not complete.
 #[must_use]
 pub fn upstream_broke_off() -> Refusal {
--- a/crates/flow/src/server.rs
+++ b/crates/flow/src/server.rs
@@ -5,8 +5,6 @@
 use base::prelude::*;
 use ledger::Book;
 use member::View;
-use ntex::SharedCfg;
-use ntex::client::{Client, Connector};
 use ntex::http::{ConnectionType, StatusCode};
 use ntex::web::types::{Payload, State};
 use ntex::web::{self, HttpRequest, HttpResponse, ServiceConfig};
@@ -20,6 +18,7 @@
 use crate::answer;
 use crate::claim::Claim;
 use crate::dispatch::dispatch;
+use crate::held::Held;
 use crate::identify::Identify;
 use crate::in_flight::Counter;
 use crate::limit::Limit;
@@ -31,9 +30,6 @@
 use crate::retry::Budget;
 use crate::{Chain, Exchange, Refusal};
 
-/// Most connections that one HTTP client uses at once, over all upstreams.
-const MAX_CONNECTIONS: usize = 1_024;
-
 /// State that all worker threads of an instance share.
 #[derive(Debug)]
 pub struct Shared {
@@ -78,23 +74,13 @@
 pub struct Worker {
     /// State shared with the other workers.
     pub shared: Arc<Shared>,
-    /// Reuses connections; for requests that may be repeated.
-    pooled_client: Client,
-    /// Opens a new connection for each request; for requests that must not be repeated.
-    unpooled_client: Client,
     chain: Chain,
 }
 
 impl Worker {
-    /// Builds the HTTP clients and the filter chain of the current thread.
-    ///
-    /// # Panics
-    ///
-    /// Panics if the HTTP client cannot be built, which is a bug.
-    pub async fn open(shared: Arc<Shared>) -> Rc<Self> {
-        let pooled_client = open_client(Connector::default().limit(MAX_CONNECTIONS)).await;
-        let unpooled_client =
-            open_client(Connector::default().limit(MAX_CONNECTIONS).keep_alive(0_u16)).await;
+    /// Builds the filter chain of the current thread.
+    #[must_use]
+    pub fn open(shared: Arc<Shared>) -> Rc<Self> {
         let chain = Chain::default()
             .then(Identify::open(shared.keys.clone()))
             .then(Resolve)
@@ -102,16 +88,7 @@
             .then(Queue::open(&shared))
             .then(Claim::open(shared.claims.clone()))
             .then(Reserve::open(shared.ledger.clone()));
-        Rc::new(Self { shared, pooled_client, unpooled_client, chain })
-    }
-
-    /// Returns the HTTP client to send a request with.
-    ///
-    /// The upstream may close an idle connection just as a request is written to it. The client
-    /// cannot tell then whether the request ran, so only idempotent requests reuse connections.
-    #[must_use]
-    pub fn client_for(&self, idempotent: bool) -> &Client {
-        if idempotent { &self.pooled_client } else { &self.unpooled_client }
+        Rc::new(Self { shared, chain })
     }
 
     /// Withdraws one retry from the retry budgets of account and instance; false if denied.
@@ -154,17 +131,6 @@
     }
 }
 
-async fn open_client(connector: Connector) -> Client {
-    Client::builder()
-        .connector::<()>(connector)
-        .disable_timeout()
-        .disable_redirects()
-        .no_default_headers()
-        .build(SharedCfg::default())
-        .await
-        .expect("building an HTTP client without TLS does not fail")
-}
-
 fn new_request_id() -> RequestId {
     uuid::Uuid::now_v7().simple().to_string().into()
 }
--- a/crates/flow/src/sse.rs
+++ b/crates/flow/src/sse.rs
@@ -3,6 +3,8 @@
 use ntex::util::{Bytes, BytesMut};
 use serde_json::Value;
 
+/// Longest end of an event.
+const LONGEST_END: &[u8] = b"\r\n\r\n";
 /// Data of the last event of a stream in the published chat format.
 const DONE_DATA: &str = "[DONE]";
 
@@ -67,6 +69,8 @@
 /// Splits received bytes into events, wherever the chunks end.
 #[derive(Debug, Default)]
 pub struct Splitter {
+    /// Buffered bytes that hold no end of an event.
+    scanned: usize,
     buffer: BytesMut,
 }
 
@@ -93,9 +97,14 @@
         self.buffer.len()
     }
 
-    fn event_end(&self) -> Option<usize> {
-        let lf = find(&self.buffer, b"\n\n").map(|at| at + 2);
-        let crlf = find(&self.buffer, b"\r\n\r\n").map(|at| at + 4);
+    /// Returns the offset after the next event, and remembers how far it has searched.
+    ///
+    /// Without that, an event that arrives in many parts costs time by the square of its size.
+    fn event_end(&mut self) -> Option<usize> {
+        let from = self.scanned.saturating_sub(LONGEST_END.len() - 1);
+        let lf = find(&self.buffer[from..], b"\n\n").map(|at| from + at + 2);
+        let crlf = find(&self.buffer[from..], LONGEST_END).map(|at| from + at + LONGEST_END.len());
+        self.scanned = self.buffer.len();
         match (lf, crlf) {
             (Some(a), Some(b)) => Some(a.min(b)),
             (a, b) => a.or(b),
@@ -108,6 +117,7 @@
 
     fn next(&mut self) -> Option<Event> {
         let end = self.event_end()?;
+        self.scanned = 0;
         Some(Event { raw: self.buffer.split_to(end) })
     }
 }
--- a/crates/flow/src/stream.rs
+++ b/crates/flow/src/stream.rs
@@ -4,12 +4,12 @@
 use futures::channel::{mpsc, oneshot};
 use futures::future::{Either, select};
 use futures::{SinkExt, StreamExt};
+use h1::client;
 use idem::Answer;
 use idem::claim::End as ClaimEnd;
 use ledger::book::Durable;
-use ntex::client::ClientResponse;
+use ntex::http::StatusCode;
 use ntex::http::header::HeaderValue;
-use ntex::http::{Payload, StatusCode};
 use ntex::util::Bytes;
 use ntex::web::HttpResponse;
 use route::Ticket;
@@ -88,6 +88,8 @@
     Unrecorded,
     DeadlineExceeded,
     CallerGone,
+    /// The unfinished answers of this instance hold too many bytes together.
+    Overfull,
 }
 
 /// Forwards one stream; drops its slot and permit after the settlement.
@@ -109,8 +111,8 @@
 }
 
 impl Relay {
-    async fn run(mut self, response: ClientResponse) {
-        let end = self.forward_events(&response).await;
+    async fn run(mut self, mut response: client::Answer) {
+        let end = self.forward_events(&mut response).await;
         // If the answer was not read to its end, this closes the connection and cancels the run.
         drop(response);
         let used = self.billed_tokens(end);
@@ -119,6 +121,7 @@
                 self.poison_check.report_completion(&self.ticket);
                 self.observer.observe_completion(used);
             }
+            End::Overfull => self.send_error(&upstream_broke_off()).await,
             End::IdleTimeout => {
                 self.ticket.record_failure();
                 self.send_error(&upstream_broke_off()).await;
@@ -147,12 +150,12 @@
         }
     }
 
-    async fn forward_events(&mut self, response: &ClientResponse) -> End {
-        let mut payload = response.take_payload();
+    async fn forward_events(&mut self, response: &mut client::Answer) -> End {
         let mut splitter = Splitter::default();
+        let mut share = self.observer.shared().held.open_share();
         let mut first = true;
         loop {
-            let chunk = match self.receive(&mut payload).await {
+            let chunk = match self.receive(response).await {
                 Ok(chunk) => chunk,
                 Err(end) => return end,
             };
@@ -160,6 +163,9 @@
             if splitter.pending_bytes() > MAX_ANSWER_BYTES {
                 return End::Broken;
             }
+            if !share.set(splitter.pending_bytes()) {
+                return End::Overfull;
+            }
             if std::mem::take(&mut first) {
                 self.observer.observe_first_byte();
             }
@@ -176,11 +182,11 @@
     }
 
     /// Waits for data from the upstream, or until the caller disconnects.
-    async fn receive(&mut self, payload: &mut Payload) -> Result<Bytes, End> {
+    async fn receive(&mut self, response: &mut client::Answer) -> Result<bytes::Bytes, End> {
         let time_left = self.time_left();
-        let chunk = Box::pin(timeout(IDLE_TIMEOUT.min(time_left), payload.recv()));
+        let chunk = Box::pin(timeout(IDLE_TIMEOUT.min(time_left), response.read()));
         match select(chunk, &mut self.caller_gone).await {
-            Either::Left((Ok(Some(Ok(chunk))), _)) => Ok(chunk),
+            Either::Left((Ok(Ok(Some(chunk))), _)) => Ok(chunk),
             Either::Left((Err(_), _)) if time_left <= IDLE_TIMEOUT => Err(End::DeadlineExceeded),
             Either::Left((Err(_), _)) => Err(End::IdleTimeout),
             Either::Left(_) => Err(End::Broken),
--- a/crates/h1/src/lib.rs
+++ b/crates/h1/src/lib.rs
@@ -5,6 +5,7 @@
 //! connection.
 
 pub mod body;
+pub mod client;
 pub mod conn;
 pub mod error;
 pub mod frame;
--- a/crates/rig/src/policy_comparison.rs
+++ b/crates/rig/src/policy_comparison.rs
@@ -302,7 +302,7 @@
             let fleet = Arc::new(Fleet::open(policy(), domain, Arc::clone(&clock) as _));
             fleet.apply(&doc);
             let settings = conf::route::Route::default();
-            let poller = Poller::open(Arc::clone(&fleet), clock, settings, log.clone()).await;
+            let poller = Poller::open(Arc::clone(&fleet), clock, settings, log.clone());
             ntex::rt::spawn(poller.run());
             fleets.push(fleet);
         }
--- a/crates/store/src/remote.rs
+++ b/crates/store/src/remote.rs
@@ -1,13 +1,12 @@
 //! Client of the platform's services over HTTP.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures::FutureExt;
-use ntex::SharedCfg;
-use ntex::client::{Client, ClientRequest, ClientResponse, Connector};
-use ntex::http::StatusCode;
-use ntex::time::Millis;
+use h1::client::{Client, Request};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
@@ -15,8 +14,10 @@
 
 /// Size of an answer, in bytes, above which the call fails.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
-/// Most connections that one client opens to the platform.
-const MAX_CONNECTIONS: usize = 16;
+/// Most connections to the platform that are kept open while no call uses them.
+const MAX_IDLE_CONNECTIONS: usize = 16;
+/// Header fields of calls with JSON.
+const JSON_FIELDS: &[(&str, &[u8])] = &[("Content-Type", b"application/json")];
 
 /// Request body of a read by key.
 #[derive(Debug, Serialize, Deserialize)]
@@ -39,29 +40,17 @@
 /// HTTP client of the platform, owned by one thread.
 #[derive(Debug, Clone)]
 pub struct Platform {
-    client: Client,
-    base_url: String,
+    client: Rc<Client>,
     timeout: Duration,
 }
 
 impl Platform {
     /// Opens a client; it connects to `address` with the first call.
     ///
-    /// `timeout` bounds each call to the object store. Calls to the table and the instance list
-    /// apply it twice: up to the status of the answer, and to reading its body.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`Error::Unreachable`] if the HTTP client cannot be built.
-    pub async fn open(address: SocketAddr, timeout: Duration) -> Result<Self, Error> {
-        let client = Client::builder()
-            .connector::<()>(Connector::default().limit(MAX_CONNECTIONS))
-            .response_timeout(Millis::from(timeout))
-            .response_payload_limit(MAX_RESPONSE_BYTES)
-            .build(SharedCfg::default())
-            .await
-            .map_err(|error| Error::Unreachable(error.to_string()))?;
-        Ok(Self { client, base_url: format!("http://{address}"), timeout })
+    /// Each call applies `timeout` twice: up to the status of the answer, and to reading its body.
+    #[must_use]
+    pub fn open(address: SocketAddr, timeout: Duration) -> Self {
+        Self { client: Rc::new(Client::open(address, MAX_IDLE_CONNECTIONS)), timeout }
     }
 
     async fn call<B: Serialize, T: DeserializeOwned>(
@@ -69,43 +58,29 @@
         path: &str,
         body: &B,
     ) -> Result<T, Error> {
-        let request = self.client.post(format!("{}{path}", self.base_url));
-        let response = self.with_timeout(send_json(request, body)).await?;
-        self.with_timeout(read_json(response)).await
+        let malformed = |error: serde_json::Error| Error::Malformed(error.to_string());
+        let body = serde_json::to_vec(body).map_err(malformed)?;
+        let answer = self.send("POST", path, JSON_FIELDS, &body).await?;
+        serde_json::from_slice(&answer).map_err(malformed)
     }
 
-    async fn with_timeout<T>(
+    /// Sends a request and returns the body of its answer with the status 200.
+    async fn send(
         &self,
-        call: impl Future<Output = Result<T, Error>>,
-    ) -> Result<T, Error> {
-        ntex::time::timeout(Millis::from(self.timeout), call)
-            .await
-            .unwrap_or_else(|()| Err(Error::Unreachable("timeout".into())))
-    }
-}
-
-async fn send_json<B: Serialize>(
-    request: ClientRequest,
-    body: &B,
-) -> Result<ClientResponse, Error> {
-    let response =
-        request.send_json(body).await.map_err(|error| Error::Unreachable(error.to_string()))?;
-    check_status(response)
-}
-
-fn check_status(response: ClientResponse) -> Result<ClientResponse, Error> {
-    if response.status() == StatusCode::OK {
-        Ok(response)
-    } else {
-        Err(Error::Status(response.status().as_u16()))
+        method: &str,
+        target: &str,
+        fields: &[(&str, &[u8])],
+        body: &[u8],
+    ) -> Result<Bytes, Error> {
+        let request = Request { method, target, fields, body };
+        let answer = self.client.call(&request, MAX_RESPONSE_BYTES, self.timeout).await;
+        match answer.map_err(|failure| Error::Unreachable(failure.to_string()))? {
+            (200, body) => Ok(body),
+            (status, _) => Err(Error::Status(status)),
+        }
     }
 }
 
-async fn read_json<T: DeserializeOwned>(response: ClientResponse) -> Result<T, Error> {
-    let body = response.body().await.map_err(|error| Error::Unreachable(error.to_string()))?;
-    serde_json::from_slice(&body).map_err(|error| Error::Malformed(error.to_string()))
-}
-
 impl crate::Table for Platform {
     fn get(&self, keys: Vec<String>) -> Pending<'_, Vec<Row>> {
         async move { self.call("/table/get", &Get { keys }).await }.boxed_local()
@@ -123,38 +98,19 @@
 impl crate::Objects for Platform {
     fn put(&self, name: String, body: Vec<u8>) -> Pending<'_, ()> {
         async move {
-            let call = async {
-                let request = self.client.put(format!("{}/objects/{name}", self.base_url));
-                let response = request
-                    .send_body(body)
-                    .await
-                    .map_err(|error| Error::Unreachable(error.to_string()))?;
-                check_status(response).map(drop)
-            };
-            self.with_timeout(call).await
+            self.send("PUT", &format!("/objects/{name}"), &[], &body).await?;
+            Ok(())
         }
         .boxed_local()
     }
 
     fn fetch(&self, name: String) -> Pending<'_, Option<Vec<u8>>> {
         async move {
-            let call = async {
-                let response = self
-                    .client
-                    .get(format!("{}/objects/{name}", self.base_url))
-                    .send()
-                    .await
-                    .map_err(|error| Error::Unreachable(error.to_string()))?;
-                if response.status() == StatusCode::NOT_FOUND {
-                    return Ok(None);
-                }
-                let body = check_status(response)?
-                    .body()
-                    .await
-                    .map_err(|error| Error::Unreachable(error.to_string()))?;
-                Ok(Some(body.to_vec()))
-            };
-            self.with_timeout(call).await
+            match self.send("GET", &format!("/objects/{name}"), &[], &[]).await {
+                Ok(body) => Ok(Some(body.to_vec())),
+                Err(Error::Status(404)) => Ok(None),
+                Err(error) => Err(error),
+            }
         }
         .boxed_local()
     }
