Refuse what arrives on kept connections late in a stop of lacewingd

Callers saw (shown by a test only): requests on kept connections were passed on after the instance had closed its listening socket, up to the end of the stop, which they extended; a kill at the platform's own limit would cut them off.

Change: once callers have left, new requests get 503 instance_stopping with the outcome not-run.

Evidence: a_stopping_instance_answers_each_request_on_a_kept_connection failed before (200 for all ten), passes now; the request in flight is served as before.

--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -12,6 +12,7 @@
 use flow::queue::Pools;
 use flow::request::Limits;
 use flow::retry::Budget;
+use flow::stop::Stop;
 use flow::{Shared, Worker};
 use ledger::core;
 use ledger::event::{self, Context};
@@ -122,6 +123,8 @@
             request_timeout: settings.limits.request_timeout,
         },
         in_flight: Counter::default(),
+        stop: Stop::default(),
+        held: Held::default(),
         upstream_timeout: settings.limits.upstream_timeout,
         clock,
         log: log.clone(),
@@ -279,11 +282,13 @@
 
     /// Stops the instance: waits for the requests in flight and returns all pieces.
     ///
-    /// Requests that are still in flight after the drain timeout are cut off.
+    /// Requests that arrive on kept connections once callers have left are refused. Requests that are
+    /// still in flight after the drain timeout are cut off.
     pub async fn stop(self) {
         self.leaving.set();
         self.shared.membership.leave();
         self.serve_until_quiet().await;
+        self.shared.stop.drain();
         self.refuse_connections().await;
         let end = self.shared.clock.now() + self.drain_timeout;
         while self.shared.in_flight.count() > 0 && self.shared.clock.now() < end {
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod server;
 pub mod settle;
 pub mod sse;
+pub mod stop;
 pub mod stream;
 
 pub use crate::chain::{Chain, Filter};
--- a/crates/flow/src/server.rs
+++ b/crates/flow/src/server.rs
@@ -23,11 +23,13 @@
 use crate::in_flight::Counter;
 use crate::limit::Limit;
 use crate::queue::{Pools, Queue};
+use crate::refusal::BUSY_RETRY_AFTER;
 use crate::relay::relay;
 use crate::request::{self, Limits};
 use crate::reserve::Reserve;
 use crate::resolve::Resolve;
 use crate::retry::Budget;
+use crate::stop::Stop;
 use crate::{Chain, Exchange, Refusal};
 
 /// State that all worker threads of an instance share.
@@ -61,6 +63,10 @@
     pub limits: Limits,
     /// Counts the requests in flight; a planned stop waits until none is left.
     pub in_flight: Counter,
+    /// Planned stop of the instance.
+    pub stop: Stop,
+    /// Account of the bytes that unfinished answers hold.
+    pub held: Held,
     /// Longest wait for the head of an upstream's answer in one attempt.
     pub upstream_timeout: Duration,
     /// Clock for deadlines, latencies and rate limits.
@@ -166,10 +172,13 @@
     let request_id = new_request_id();
     let limits = worker.shared.limits;
     let body = match request::check_head(http, limits) {
+        Ok(()) if !worker.shared.stop.admits() => Err(stopping()),
         Ok(()) => request::read_body(&mut payload, limits).await,
         Err(refusal) => Err(refusal),
     };
     let exchange = match body {
+        // The stop may have come on while the body arrived.
+        Ok(_) if !worker.shared.stop.admits() => Err(stopping()),
         Ok(body) => {
             let config = Arc::clone(&worker.shared.config.load());
             build(Arc::clone(&request_id), http, body, config).map(|mut exchange| {
@@ -206,6 +215,12 @@
     exchange.idempotency_key.is_some() && !exchange.is_streamed()
 }
 
+fn stopping() -> Refusal {
+    let message = "the instance stops; another one can run the request";
+    Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, "instance_stopping", message)
+        .with_retry_after(BUSY_RETRY_AFTER)
+}
+
 fn instance_stopped(request_id: &str) -> HttpResponse {
     let refusal = Refusal::unknown("instance_stopped", "the instance stopped during the run");
     answer::refusal(&refusal, request_id)
--- a/crates/rig/tests/load_planned_stop.rs
+++ b/crates/rig/tests/load_planned_stop.rs
@@ -8,6 +8,8 @@
 use rig::client;
 use rig::cluster::{Cluster, Shape};
 use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::time::sleep;
 
 fn chat_body(marker: &str) -> Value {
@@ -72,3 +74,53 @@
     assert_eq!(statuses.last(), Some(&200));
     assert!(!statuses.contains(&401), "{statuses:?}");
 }
+
+/// Sends a chat on an open connection and returns its answer, up to the end of either.
+async fn send_kept(mut stream: TcpStream, body: &str) -> String {
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer courier-key\r\n\
+         content-type: application/json\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    stream.write_all(format!("{head}{body}").as_bytes()).await.unwrap_or_default();
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).await.unwrap_or_default();
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// Guards against requests on kept connections that are passed on late in a stop, and cut off.
+#[ntex::test]
+async fn a_stopping_instance_answers_each_request_on_a_kept_connection() {
+    let shape = Shape {
+        routers: 1,
+        token_interval: Duration::from_millis(10),
+        extra_settings: "[limits]\ndrain_ms = 2000\n".to_owned(),
+        ..Shape::default()
+    };
+    let cluster = Cluster::spawn(&shape, &Value::Null).await.unwrap();
+    // It takes longer than the stop.
+    let long = json!({"model": "model", "max_tokens": 600,
+        "messages": [{"role": "user", "content": "marker=m tokens=600"}]})
+    .to_string();
+    let address = cluster.routers[0].address;
+    let mut callers = Vec::new();
+    for step in 0..10 {
+        let stream = TcpStream::connect(address).await.unwrap();
+        let long = long.clone();
+        callers.push(ntex::rt::spawn(async move {
+            // The first one keeps the instance from ending, the others come late.
+            let delay = if step == 0 { 0 } else { 1_400 + 100 * step };
+            sleep(Duration::from_millis(delay)).await;
+            send_kept(stream, &long).await
+        }));
+    }
+    sleep(Duration::from_millis(100)).await;
+    cluster.routers[0].process.terminate();
+    for (step, caller) in callers.into_iter().enumerate() {
+        let answer = caller.await.unwrap();
+        println!("{step}: {:.60}", answer.lines().next().unwrap_or_default());
+        let is_refused = answer.starts_with("HTTP/1.1 503 ") && answer.contains("not-run");
+        let is_whole = answer.starts_with("HTTP/1.1 200 ") && answer.ends_with("}}");
+        assert!(if step == 0 { is_whole } else { is_refused }, "{step}: {answer}");
+    }
+}
