--- a/crates/wire/tests/link.rs
+++ b/crates/wire/tests/link.rs
@@ -11,6 +11,7 @@
 use base::prelude::*;
 use futures::FutureExt;
 use futures::future::ready;
+use test_case::test_case;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
@@ -264,3 +265,30 @@
     let answers = futures::future::join_all(calls).await;
     assert_eq!(answers.iter().filter(|answer| **answer == Err(Error::Busy)).count(), 1);
 }
+
+/// Guards against a peer whose messages never end, all of which the caller keeps.
+#[test_case(&[0xff]; "too many segments")]
+#[test_case(&[0, 0, 0, 0, 0xff, 0xff, 0xff, 0x7f]; "a segment that is too large")]
+#[test_case(&[0, 0, 0, 0, 0xff, 0xff, 0x07, 0]; "segments of the largest size")]
+#[test_case(&[0]; "messages without content")]
+#[ntex::test]
+async fn a_peer_that_sends_bytes_without_end_is_cut_off(repeated: &[u8]) {
+    /// Most bytes that the peer can send, including those in the buffers of the sockets.
+    const MAX_SENT_BYTES: usize = 24 << 20;
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let block = repeated.repeat((64 << 10) / repeated.len());
+    let sending = async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut sent = 0;
+        while let Ok(count @ 1..) = stream.write(&block).await {
+            sent += count;
+        }
+        sent
+    };
+    let context = context("a", "secret");
+    let (link, sent) = futures::future::join(Link::open(address, &context), sending).await;
+    assert!(link.is_err(), "{link:?}");
+    println!("{sent} bytes");
+    assert!(sent <= MAX_SENT_BYTES, "{sent} bytes were taken");
+}
