Show a reset that the exit of a tunnel meets with a write

The upstream resets while the exit writes an upload to it: with the memory of the failed write taken out of h1::Socket the caller got the part as a whole answer (Ok(b"part")), with it the read fails.

--- a/crates/tunnel/tests/tunnels.rs
+++ b/crates/tunnel/tests/tunnels.rs
@@ -197,3 +197,25 @@
     }
     assert_eq!(script.asked.borrow().len(), 2);
 }
+
+/// Guards against the part of an answer that looks whole, because the exit's write of an upload met
+/// the reset of the upstream before its read.
+#[ntex::test]
+async fn a_reset_during_an_upload_is_no_end_of_an_answer() {
+    let Carried { mut conn, mut upstream, exit: _exit } = open_tunnel().await;
+    let answering = async move {
+        upstream.read_u8().await.expect("the request begins");
+        // The buffers of the sockets are full then, so that the exit waits to write.
+        sleep(Duration::from_millis(200)).await;
+        upstream.write_all(b"HTTP/1.1 200 OK\r\n\r\npart").await.expect("an open connection");
+        upstream.set_zero_linger().expect("a socket option");
+    };
+    let upload = vec![b'u'; 32 << 20];
+    let exchanging = async {
+        let (head, is_written) = conn.exchange(b"POST", &upload, 1 << 10).await?;
+        assert!(!is_written && head.framing == Framing::UntilClose);
+        conn.read_body(head.framing, 100, Some(TIMEOUT)).await
+    };
+    let (body, ()) = futures::future::join(exchanging, answering).await;
+    assert!(matches!(body, Err(Error::Io(_))), "{body:?}");
+}
