Relay a failure without an id on a kept connection as before

Such an answer says neither that the request has run nor that it has not, so that it does no harm if it belongs to an earlier one. It passes again, and its connection is not used any more.

--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -653,7 +653,7 @@
     /// Sends the request and reads the head of its answer, skipping answers to earlier ones.
     ///
     /// On a connection that has carried an earlier request, only an answer that names this one
-    /// counts: any other may have been written for the earlier one, and tells nothing of this one.
+    /// counts, or a failure that claims nothing: any other may have been written for the earlier one.
     async fn exchange(
         &self,
         upstream: &Upstream,
@@ -681,8 +681,11 @@
                 Subject::Unnamed => !is_kept && is_first,
                 Subject::Other => false,
             };
-            if is_stranger || is_own {
-                let is_reusable = is_whole && is_first && head.keep_alive;
+            // It may be that of an earlier request, but says neither that this one ran nor that not.
+            let is_bare_failure = metadata.subject == Subject::Unnamed
+                && is_failure_before_run(head.status, &metadata);
+            if is_stranger || is_own || is_bare_failure {
+                let is_reusable = is_whole && is_first && head.keep_alive && is_own;
                 return Ok((head, metadata, is_reusable));
             }
             if !is_whole || metadata.subject == Subject::Unnamed {
@@ -885,11 +888,16 @@
     if metadata.is_signed {
         upstream.has_signed.set(true);
     }
-    let is_own_failure =
-        status >= MIN_FAILURE_STATUS && status != UNAVAILABLE && upstream.has_signed.get();
+    let is_own_failure = is_failure_before_run(status, metadata) && upstream.has_signed.get();
     metadata.is_signed || metadata.is_not_run || is_own_failure
 }
 
+/// Returns true for a failure that no run has signed and that makes no statement on the run.
+fn is_failure_before_run(status: u16, metadata: &Metadata) -> bool {
+    let is_failure = status >= MIN_FAILURE_STATUS && status != UNAVAILABLE;
+    is_failure && !metadata.is_signed && !metadata.is_not_run
+}
+
 impl Answer {
     /// Records the time since the request was sent, divided by the expected time.
     pub fn record_slowness(&self, now: Duration) {
