--- a/review/lib-4/lab.py
+++ b/review/lib-4/lab.py
@@ -88,9 +88,9 @@
 
 
 def free_pair(host):
-    """Returns the first of two ports in a row that are free."""
+    """Returns the first of two ports in a row that are free, below those that `free_ports` returns."""
     for _ in range(200):
-        first = random.randint(20000, 60000)
+        first = random.randint(20000, 30000)
         try:
             held = [listen(host, first), listen(host, first + 1)]
         except OSError:
@@ -340,6 +340,8 @@
         self.sockets = set()
         # Called with this engine, a reader, a socket, the request line, the fields and the body.
         self.behave = respond
+        # Time between two events of a stream.
+        self.pause = 0.1
         serve_forever(self.server, self.handle)
         self.write()
         threading.Thread(target=self.beat, daemon=True).start()
@@ -425,13 +427,13 @@
             engine.running -= 1
 
 
-def stream(engine, sock, fields, signed, output, pause=0.1, stride=5):
+def stream(engine, sock, fields, signed, output, stride=5):
     head = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
     head += ["%s: %s" % field for field in signed]
     sock.sendall(("\r\n".join(head) + "\r\n\r\n").encode())
     first = int(fields.get("last-event-id", "0")) + 1
     for number in range(first, output // stride + 1):
-        time.sleep(pause)
+        time.sleep(engine.pause)
         event = b"id: %d\ndata: %s\n\n" % (number, b"t" * 40)
         sock.sendall(b"%x\r\n%s\r\n" % (len(event), event))
     sock.sendall(b"0\r\n\r\n")
@@ -500,6 +502,11 @@
                                {}, timeout=1)
         return json.loads(body)["addresses"] if status == 200 else []
 
+    def tail(self):
+        """Returns the last lines of the log."""
+        with open(self.log, errors="replace") as log:
+            return "".join(log.readlines()[-8:])
+
     def end(self):
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(signal.SIGCONT)
@@ -533,6 +540,9 @@
     until = time.monotonic() + limit
     while not all(machine.is_ready() for machine in machines):
         if time.monotonic() > until:
+            for machine in machines:
+                if not machine.is_ready():
+                    print(machine.name, "running:", machine.is_running(), "log:", machine.tail())
             raise Unusable("the machines are not ready after %d s" % limit)
         time.sleep(0.1)
 
@@ -646,6 +656,8 @@
     routes = routes or [
         dict(route, name="r-stream", prefix="/stream/", kind="stream", timeout_ms=8000, priority=1,
              service="lm-pool", resume_streams=True),
+        dict(route, name="r-once", prefix="/once/", kind="stream", timeout_ms=8000, priority=1,
+             service="lm-pool", resume_streams=False),
         dict(route, name="r-unsafe", prefix="/unsafe/", kind="unsafe", timeout_ms=1000, priority=2,
              service="billing-api", resume_streams=False),
         dict(route, name="r-safe", prefix="/safe/", kind="safe", timeout_ms=1000, priority=2,
