--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,6 +1,7 @@
-"""An engine spoils a stream and works on; the machine lets another one go on before it hangs up."""
+"""A crowd sends requests of legal size whose prompts have very many short parts."""
 
 import os
+import signal
 import socket
 import sys
 import threading
@@ -10,147 +11,112 @@
 sys.path.insert(0, os.path.join(os.path.dirname(CASE), "lib-4"))
 import lab  # noqa: E402
 
-PROMPT, OUTPUT = 17_020, 120
-EVENTS = OUTPUT // 5
-STREAMS = 12
-# Time from the arrival of a request to its first event: the aim of the sheet.
-PREFILL_SECONDS = 0.6
-PAUSE = 0.1
-# Bound of the rule.
-BOUND_SECONDS = 0.4
-
-
-class Works:
-    """When each engine began and ended its work on each request."""
-
-    def __init__(self):
-        self.lock = threading.Lock()
-        self.spans = {}
-        self.spoiled = set()
-
-    def begin(self, attempt, engine):
-        with self.lock:
-            self.spans.setdefault(attempt, []).append([engine.id, lab.now(), None])
-            return self.spans[attempt][-1]
-
-
-def is_closed(sock):
-    """Returns true if the peer has closed the connection."""
-    try:
-        return sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
-
-
-def make_behaviour(works, trouble):
-    def behave(engine, reader, sock, line, fields, body):
-        attempt = fields.get(lab.ATTEMPT.lower())
-        if attempt is None or lab.COUNTS.lower() not in fields:
-            return lab.respond(engine, reader, sock, line, fields, body)
-        if fields.get(lab.EXPECTED.lower(), engine.id) != engine.id:
-            return lab.respond(engine, reader, sock, line, fields, body)
-        with works.lock:
-            spoils = trouble and attempt not in works.spoiled
-            works.spoiled.add(attempt)
-        span = works.begin(attempt, engine)
-        after = int(fields.get("last-event-id", "0"))
-        engine.note(attempt, "runs after event %d" % after)
-        try:
-            return work(engine, sock, fields, attempt, after, spoils)
-        finally:
-            span[2] = lab.now()
-            engine.note(attempt, "ends its work")
-    return behave
-
-
-def work(engine, sock, fields, attempt, after, spoils):
-    until = time.monotonic() + PREFILL_SECONDS
-    while time.monotonic() < until:
-        if is_closed(sock):
-            return False
-        time.sleep(0.01)
-    head = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream", "Transfer-Encoding: chunked",
-            "%s: %s" % (lab.ATTEMPT, attempt), "%s: %s.%s" % (lab.SIGNATURE, engine.id, attempt)]
-    sock.sendall(("\r\n".join(head) + "\r\n\r\n").encode())
-    for number in range(after + 1, EVENTS + 1):
-        if is_closed(sock):
-            return False
-        if spoils and number > 4:
-            # Bytes that are no answer, in place of a chunk; the run goes on.
-            if number == 5:
-                engine.note(attempt, "sends bytes that are no answer")
-                sock.sendall(b"\x07spoiled\r\n")
-            time.sleep(PAUSE)
-            continue
-        event = b"id: %d\ndata: %s\n\n" % (number, b"t" * 40)
-        sock.sendall(b"%x\r\n%s\r\n" % (len(event), event))
-        time.sleep(PAUSE)
-    if not spoils:
-        sock.sendall(b"0\r\n\r\n")
-    return not spoils
-
-
-def read_stream(machine, results):
+MEMORY_MB = 110
+CROWD, ROUNDS = 900, 3
+PARTS = 4000
+# Time until an engine has read the prompts that came before.
+QUEUE_SECONDS = 3.0
+RESTART_SECONDS = 0.5
+
+
+def behave(engine, reader, sock, line, fields, body):
+    if lab.ATTEMPT.lower() not in fields or lab.COUNTS.lower() not in fields:
+        return lab.respond(engine, reader, sock, line, fields, body)
+    time.sleep(QUEUE_SECONDS)
+    return lab.respond(engine, reader, sock, line, fields, body)
+
+
+class Keeper:
+    """Ends a process that exceeds the memory of its machine, and starts it again, as the platform does."""
+
+    def __init__(self, machines):
+        self.machines = machines
+        self.peaks = {machine.name: 0 for machine in machines}
+        self.ends = {machine.name: 0 for machine in machines}
+        self.is_closed = False
+        self.thread = threading.Thread(target=self.watch, daemon=True)
+        self.thread.start()
+
+    def watch(self):
+        page = os.sysconf("SC_PAGE_SIZE")
+        while not self.is_closed:
+            time.sleep(0.01)
+            for machine in self.machines:
+                try:
+                    with open("/proc/%d/statm" % machine.process.pid) as statm:
+                        held = int(statm.read().split()[1]) * page
+                except (OSError, IndexError):
+                    continue
+                self.peaks[machine.name] = max(self.peaks[machine.name], held)
+                if held > MEMORY_MB * 1_000_000:
+                    lab.RECORD.add("machine %s holds %d bytes, more than its memory" % (
+                        machine.name, held))
+                    self.ends[machine.name] += 1
+                    machine.signal(signal.SIGKILL)
+                    machine.process.wait()
+                    time.sleep(RESTART_SECONDS)
+                    machine.start()
+
+    def close(self):
+        self.is_closed = True
+        self.thread.join()
+
+
+def send(machine, parts, endings):
     attempt = lab.attempt_id()
+    prefix = ",".join(["1:1"] * parts)
     fields = {"Host": "w.example", lab.ATTEMPT: attempt, "X-Lacewingpost-Model": "m",
-              lab.COUNTS: "%d,%d" % (PROMPT, OUTPUT),
-              lab.PREFIX: "5c1e07a2:13300,%s:3720" % attempt[:8],
-              lab.DEADLINE: "8000", "Api-Key": "key-one"}
-    lab.RECORD.add("client: %s to %s" % (attempt, machine.name))
-    ids, ending = [], "no answer"
+              lab.COUNTS: "%d,80" % PARTS, lab.PREFIX: prefix, lab.DEADLINE: "8000",
+              "Api-Key": "key-one"}
+    ending = "no answer"
     try:
         with socket.create_connection((machine.host, machine.front), timeout=9) as sock:
-            sock.sendall(lab.encode("POST", "/stream/a", "w.example", fields, b"p" * 400))
+            message = lab.encode("POST", "/stream/a", "w.example", fields, b"p" * 100)
+            assert message.index(b"\r\n\r\n") + 4 <= 16384, "the head is larger than header_bytes"
+            sock.sendall(message)
             reader = lab.Reader(sock)
             line, got = reader.head()
             ending = line.split(" ")[1]
-            while part := reader.chunk():
-                ids += [int(text) for text in part.decode().split() if text.isdigit()]
-            ending += ", complete"
     except (OSError, EOFError, ValueError) as error:
         ending += " (%s)" % error
-    results.append((attempt, ending, ids))
-    lab.RECORD.add("client: %s ends with %s, events %s" % (attempt, ending, ids))
+    endings.append(ending)
 
 
 def main(machines, trouble):
     store = lab.Store()
-    store.put("op", "config", lab.configuration())
-    engines = [lab.Engine(store, "lm-pool", number) for number in range(4)]
-    engines.append(lab.Engine(store, "billing-api", 9))
-    works = Works()
+    store.put("op", "config", lab.configuration(prepaid=10**9))
+    engines = [lab.Engine(store, "lm-pool", number) for number in range(12)]
     for engine in engines:
-        engine.behave = make_behaviour(works, trouble)
-    zones = ("bole", "kazanchis", "piassa")
-    machines += [lab.Machine(store, 1, zone=zone, zones=zones) for zone in zones]
+        engine.behave = behave
+    lab.Engine(store, "billing-api", 99)
+    zones = ("quito-a", "quito-b", "quito-c")
+    machines += [lab.Machine(store, 1, zone, zones, memory_mb=MEMORY_MB) for zone in zones]
     for machine in machines:
         machine.start()
+    keeper = Keeper(machines)
     lab.wait_ready(machines)
-    time.sleep(10)
-    results, threads = [], []
-    for number in range(STREAMS):
-        thread = threading.Thread(target=read_stream, args=(machines[number % 3], results), daemon=True)
-        thread.start()
-        threads.append(thread)
-        time.sleep(0.5)
-    for thread in threads:
-        thread.join(10)
-    time.sleep(1)
-    overlaps = []
-    for attempt, spans in works.spans.items():
-        for first, second in zip(spans, spans[1:]):
-            overlap = (first[2] or lab.now()) - second[1]
-            lab.RECORD.add("%s: %s ended its work %.3f s after %s had got the request" % (
-                attempt, first[0], overlap, second[0]))
-            if overlap > BOUND_SECONDS:
-                overlaps.append(overlap)
-    lab.RECORD.add("streams %d, taken over %d, with both engines at work for over %.1f s: %d" % (
-        len(results), sum(len(spans) > 1 for spans in works.spans.values()), BOUND_SECONDS,
-        len(overlaps)))
-    print(lab.RECORD.lines[-1][1])
-    return bool(overlaps)
+    time.sleep(8)
+    for number in range(ROUNDS):
+        for machine in machines[:2]:
+            lab.wait_ready([machine])
+            endings, threads = [], []
+            for _ in range(CROWD):
+                arguments = (machine, PARTS if trouble else 3, endings)
+                threads.append(threading.Thread(target=send, args=arguments, daemon=True))
+                threads[-1].start()
+                time.sleep(0.002)
+            for thread in threads:
+                thread.join(10)
+            counts = {ending: endings.count(ending) for ending in set(endings)}
+            lab.RECORD.add("round %d at %s: %d requests with %d parts end with %s" % (
+                number + 1, machine.name, CROWD, PARTS if trouble else 3, sorted(counts.items())))
+            time.sleep(1)
+    keeper.close()
+    for machine in machines:
+        lab.RECORD.add("machine %s: at most %d bytes, ended %d times" % (
+            machine.name, keeper.peaks[machine.name], keeper.ends[machine.name]))
+        print(lab.RECORD.lines[-1][1])
+    return sum(ends >= 3 for ends in keeper.ends.values()) >= 2
 
 
 lab.run(CASE, main)
