--- a/review/12/case.py
+++ b/review/12/case.py
@@ -12,7 +12,7 @@
 
 PROMPT, OUTPUT = 1460, 80
 STREAMS, ROUNDS = 8, 2
-DOWN_SECONDS = 2.0
+DOWN_SECONDS = 1.0
 # Time after which the store shows what an engine writes: `lag_ms` of the site file.
 LAG_SECONDS = 0.8
 # Time from the start of the new version to its crash.
--- a/review/lib-4/lab.py
+++ b/review/lib-4/lab.py
@@ -19,6 +19,7 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 PROGRAM = os.path.join(ROOT, "target", "release", "lacewing-platform")
 METRICS_PORT = 9464
+HEARTBEAT_SECONDS = 1.2
 ATTEMPT = "X-Lacewingpost-Attempt-Id"
 SIGNATURE = "X-Lacewingpost-Response-Signature"
 NOT_RUN = "X-Lacewingpost-Not-Executed"
@@ -197,7 +198,9 @@
         # Called with the source address, the path and the body before a call is carried out. It
         # returns what becomes of the call: "serve", "refuse", "silent" or "reset".
         self.gate = lambda source, path, body: "serve"
+        self.beats = {}
         serve_forever(self.server, self.handle)
+        threading.Thread(target=self.remove_silent, daemon=True).start()
 
     def clock_ms(self):
         return int((now() + 1000.0) * 1000)
@@ -205,11 +208,22 @@
     def put(self, table, key, value, part=""):
         """Writes a row in the name of the operator or of an engine."""
         text = value if isinstance(value, str) else json.dumps(value)
+        if table == "servers":
+            self.beats[key] = time.monotonic()
         with self.lock:
             self.version += 1
             self.set(table, part, key, base64.b64encode(text.encode()).decode())
             self.lock.notify_all()
 
+    def remove_silent(self):
+        """Removes the entries of engines after three heartbeat intervals of silence."""
+        while True:
+            time.sleep(0.1)
+            oldest = time.monotonic() - 3 * HEARTBEAT_SECONDS
+            for key in [key for key, at in list(self.beats.items()) if at < oldest]:
+                del self.beats[key]
+                self.drop("servers", key)
+
     def drop(self, table, key, part=""):
         with self.lock:
             self.version += 1
@@ -357,7 +371,7 @@
 
     def beat(self):
         while self.alive:
-            time.sleep(1.2)
+            time.sleep(HEARTBEAT_SECONDS)
             if self.alive:
                 self.write()
 
