--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,7 +3,7 @@
 # library, so that nothing has to be built.
 set -eu
 cd "$(dirname "$0")"
-for file in lib-4/*.py 1[1-5]/*.py; do
+for file in lib-4/*.py 1[1-5]/*.py findings-3/*/*.py; do
     [ -e "$file" ] || continue
     python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read(), sys.argv[1])' "$file"
 done
--- a/review/lib-4/lab.py
+++ b/review/lib-4/lab.py
@@ -398,6 +398,14 @@
         return ("X-Lacewingpost-Server-Load", "%d,0,%d" % (self.running, self.slots))
 
 
+def report(engine):
+    """Returns what an engine says of itself."""
+    return json.dumps({"stage": "unified", "models": [{"name": "m", "version": 1, "adapters": []}],
+                       "busy": False, "sequence": 1, "queue_depth": 0,
+                       "running_requests": engine.running, "kv_cache_used": 0,
+                       "kv_cache_capacity": engine.memory, "handles": 0, "born": engine.born}).encode()
+
+
 def respond(engine, reader, sock, line, fields, body):
     """Sound behaviour of an engine. Returns true if the connection stays open."""
     method, target, _ = line.split(" ")
@@ -406,11 +414,7 @@
         sock.sendall(answer(200, b"", [("X-Lacewingpost-Instance-Id", engine.id), engine.load()]))
         return True
     if target == "/lacewingpost/report":
-        text = json.dumps({"stage": "unified", "models": [{"name": "m", "version": 1, "adapters": []}],
-                           "busy": False, "sequence": 1, "queue_depth": 0,
-                           "running_requests": engine.running, "kv_cache_used": 0,
-                           "kv_cache_capacity": engine.memory, "handles": 0, "born": engine.born})
-        sock.sendall(answer(200, text.encode()))
+        sock.sendall(answer(200, report(engine)))
         return True
     if attempt is None:
         sock.sendall(answer(400, b"", [(NOT_RUN, "1")]))
