--- a/review/lib-4/lab.py
+++ b/review/lib-4/lab.py
@@ -15,11 +15,14 @@
 import tempfile
 import threading
 import time
+import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 PROGRAM = os.path.join(ROOT, "target", "release", "lacewing-platform")
 METRICS_PORT = 9464
 HEARTBEAT_SECONDS = 1.2
+# Longest time of a case.
+MAX_SECONDS = 118
 ATTEMPT = "X-Lacewingpost-Attempt-Id"
 SIGNATURE = "X-Lacewingpost-Response-Signature"
 NOT_RUN = "X-Lacewingpost-Not-Executed"
@@ -580,14 +583,23 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     RECORD.add("with trouble" if trouble else "without trouble")
     broken, unusable = False, None
+
+    def stop(number, frame):
+        raise Unusable("ended by signal %d" % number)
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGALRM):
+        signal.signal(number, stop)
+    signal.alarm(MAX_SECONDS)
     try:
         broken = main(machines, trouble)
     except Unusable as error:
         unusable = error
     except Exception as error:  # An error of the stand-ins is no result.
         unusable = error
-        import traceback
         traceback.print_exc()
+    signal.alarm(0)
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, signal.SIG_IGN)
     code = finish(case, machines, broken)
     if unusable is not None:
         print("the case could not run: %r" % unusable)
