--- a/review/15/case.py
+++ b/review/15/case.py
@@ -174,6 +174,20 @@
     return thread
 
 
+def common_pair(machines):
+    """Returns the first of two ports in a row that are free at all machines."""
+    for _ in range(50):
+        first = lab.free_pair(machines[0].host)
+        try:
+            for machine in machines[1:]:
+                for port in (first, first + 1):
+                    lab.listen(machine.host, port).close()
+        except OSError:
+            continue
+        return first
+    raise lab.Unusable("no two ports in a row are free at all machines")
+
+
 def main(machines, trouble):
     store = Store()
     store.put("op", "config", lab.configuration())
@@ -185,9 +199,10 @@
     machines += [lab.Machine(store, 1, zone, zones,
                              store_address=store.front_address if zone == zones[0] else None)
                  for zone in zones]
+    internal = common_pair(machines)
     for machine in machines:
         # The machines find each other at the same port.
-        machine.internal = machines[0].internal
+        machine.internal = internal
         machine.write_settings()
         machine.start()
     lab.wait_ready(machines)
